Serve the platform's protocol on real sockets round the module

Attempts go each alone on a connection; idle ones are used again for 0.6 of the time after which a disk box closes them.

--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,500 @@
+//! The one place where configuration is read, checked and given defaults: GW_* and GW_CONFIG (JSON) on the
+//! platform, an operator's TOML in a sidecar. Both have the same keys. A fault names its key.
+use oxbowhill::interface::{ListNews, Micros, NodeEntry, NodeId, NodeState, Settings, ShardId};
+use serde::Deserialize;
+use serde_json::Value;
+use std::fmt;
+use std::net::SocketAddr;
+
+mod write;
+pub use write::application;
+
+/// What is wrong, and with which key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// The key, as a path.
+    pub key: String,
+    /// What is wrong with it.
+    pub reason: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.key, self.reason)
+    }
+}
+
+impl std::error::Error for Fault {}
+
+fn fault<T>(key: impl Into<String>, reason: impl Into<String>) -> Result<T, Fault> {
+    Err(Fault { key: key.into(), reason: reason.into() })
+}
+
+/// The limits of the machine.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(default)]
+pub struct Limits {
+    /// Cores; the program uses one.
+    pub cores: f64,
+    /// Memory, in MB.
+    pub memory_mb: u64,
+    /// Descriptors.
+    pub sockets: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits { cores: 1.0, memory_mb: 192, sockets: 1024 }
+    }
+}
+
+/// A class, as requests name it.
+#[derive(Clone, Debug)]
+pub struct Class {
+    /// Its name.
+    pub name: String,
+    /// The time for which a client waits in all.
+    pub deadline: Micros,
+    /// Whether it writes.
+    pub write: bool,
+}
+
+/// How a disk box is spoken to.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Speaks {
+    /// RESP2.
+    #[default]
+    Resp,
+    /// iSCSI, with the front as the initiator.
+    Iscsi,
+}
+
+/// A disk box on the list.
+#[derive(Clone, Debug)]
+pub struct Target {
+    /// What the module is told.
+    pub entry: NodeEntry,
+    /// Where it listens; none where the list gives nothing usable.
+    pub address: Option<SocketAddr>,
+    /// How it is spoken to.
+    pub speaks: Speaks,
+}
+
+/// One message of discovery.
+#[derive(Clone, Debug)]
+pub struct Targets {
+    /// The list's version.
+    pub generation: i64,
+    /// Whether this is the whole list.
+    pub whole: bool,
+    /// The entries.
+    pub targets: Vec<Target>,
+}
+
+impl Targets {
+    /// What the module is told of it.
+    pub fn news(&self) -> ListNews {
+        let entries = self.targets.iter().map(|t| t.entry.clone()).collect();
+        if self.whole {
+            ListNews::Full(entries)
+        } else {
+            ListNews::Delta(entries)
+        }
+    }
+}
+
+/// One LUN of the iSCSI front.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Lun {
+    /// Its number.
+    pub lun: u8,
+    /// The volume that it shows (16 hex digits).
+    pub volume: String,
+    /// The volume's plan.
+    pub plan: String,
+    /// The shard that holds the data.
+    pub shard: u32,
+    /// The class of its reads.
+    pub read_class: String,
+    /// The class of its writes.
+    pub write_class: String,
+    /// Blocks of 512 bytes.
+    pub blocks: u32,
+    /// How long a command waits for its answer; the class's deadline where it is left out.
+    pub deadline_ms: Option<u64>,
+    /// Blocks that make one piece of data.
+    #[serde(default = "eight")]
+    pub piece_blocks: u32,
+    /// Blocks that count as one unit.
+    #[serde(default = "eight")]
+    pub unit_blocks: u32,
+    /// Fronts through which the volume's requests come.
+    #[serde(default = "one")]
+    pub hosts: u32,
+}
+
+fn eight() -> u32 {
+    8
+}
+
+fn one() -> u32 {
+    1
+}
+
+fn kept() -> u64 {
+    120
+}
+
+/// The iSCSI front.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Iscsi {
+    /// Where initiators connect.
+    pub listen: SocketAddr,
+    /// The target's name.
+    pub target: String,
+    /// For how many seconds the result of a write is kept for a reissue after a reconnect.
+    #[serde(default = "kept")]
+    pub record_s: u64,
+    /// Its LUNs.
+    #[serde(default, rename = "lun")]
+    pub luns: Vec<Lun>,
+}
+
+/// A listener of its own.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Listen {
+    /// Where it listens.
+    pub listen: SocketAddr,
+}
+
+/// Everything that the program is told at its start.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Its name.
+    pub name: String,
+    /// Where clients connect; none where only other fronts are on.
+    pub listen: Option<SocketAddr>,
+    /// Discovery; none where the list is fixed.
+    pub discovery: Option<SocketAddr>,
+    /// For random numbers.
+    pub seed: u64,
+    /// The machine's limits.
+    pub limits: Limits,
+    /// The list as this front last had it, or the fixed one.
+    pub known: Targets,
+    /// What the module is told.
+    pub settings: Settings,
+    /// Classes, in the order of the settings.
+    pub classes: Vec<Class>,
+    /// Plans, in the order of the settings.
+    pub plans: Vec<String>,
+    /// Zones, in the order of the settings.
+    pub zones: Vec<String>,
+    /// Disk boxes close connections that are idle for this long.
+    pub idle: Micros,
+    /// The agent check of balancers.
+    pub agent: Option<Listen>,
+    /// HTTP health checks.
+    pub health: Option<Listen>,
+    /// The iSCSI front.
+    pub iscsi: Option<Iscsi>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct FileIn {
+    #[serde(default)]
+    name: Option<String>,
+    #[serde(default)]
+    listen: Option<SocketAddr>,
+    #[serde(default)]
+    discovery: Option<SocketAddr>,
+    #[serde(default)]
+    seed: Option<String>,
+    #[serde(default)]
+    limits: Limits,
+    #[serde(default)]
+    known: Option<Value>,
+    settings: Value,
+    #[serde(default)]
+    agent: Option<Listen>,
+    #[serde(default)]
+    health: Option<Listen>,
+    #[serde(default)]
+    iscsi: Option<Iscsi>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct TargetIn {
+    instance_id: String,
+    #[serde(default)]
+    host_port: String,
+    #[serde(default)]
+    zone: String,
+    cell: u32,
+    lifecycle: String,
+    #[serde(default)]
+    started_at_ms: i64,
+    #[serde(default)]
+    speaks: Speaks,
+}
+
+#[derive(Deserialize)]
+struct TargetsIn {
+    #[serde(default)]
+    generation: i64,
+    #[serde(default)]
+    reset: bool,
+    #[serde(default)]
+    instances: Vec<TargetIn>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct NamesIn {
+    classes: Vec<ClassIn>,
+    #[serde(default)]
+    contracts: Vec<PlanIn>,
+    #[serde(default)]
+    zones: Vec<String>,
+    #[serde(default)]
+    limits: LimitsIn,
+    #[serde(default)]
+    family_info: FamilyIn,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct ClassIn {
+    name: String,
+    deadline_s: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct PlanIn {
+    name: String,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "PascalCase", default)]
+struct LimitsIn {
+    conn_idle_s: f64,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "PascalCase", default)]
+struct FamilyIn {
+    writes: Vec<bool>,
+}
+
+/// Reads one message of discovery; times on it are Unix milliseconds, which are turned into the clock's
+/// microseconds here and nowhere else.
+pub fn targets(text: &[u8], zones: &[String]) -> Result<Targets, Fault> {
+    let read: TargetsIn =
+        serde_json::from_slice(text).map_err(|e| Fault { key: "discovery".into(), reason: e.to_string() })?;
+    let mut targets = Vec::with_capacity(read.instances.len());
+    for t in read.instances {
+        let state = match t.lifecycle.as_str() {
+            "active" => NodeState::Ready,
+            "leaving" => NodeState::Draining,
+            "left" => NodeState::Gone,
+            other => return fault("lifecycle", format!("unknown value {other:?}")),
+        };
+        let zone = zones.iter().position(|z| *z == t.zone).unwrap_or(zones.len()) as u32;
+        targets.push(Target {
+            entry: NodeEntry {
+                node: NodeId(t.instance_id.into()),
+                state,
+                started: (t.started_at_ms > 0).then(|| Micros(t.started_at_ms.saturating_mul(1000))),
+                shard: ShardId(t.cell),
+                zone,
+            },
+            address: t.host_port.parse().ok(),
+            speaks: t.speaks,
+        });
+    }
+    Ok(Targets { generation: read.generation, whole: read.reset, targets })
+}
+
+/// Reads and checks a file's text: TOML where the name ends so, else JSON.
+pub fn read(name: &str, text: &str) -> Result<Config, Fault> {
+    let value: Value = if name.ends_with(".toml") {
+        toml::from_str(text).map_err(|e| Fault { key: name.into(), reason: e.to_string() })?
+    } else {
+        serde_json::from_str(text).map_err(|e| Fault { key: name.into(), reason: e.to_string() })?
+    };
+    // The platform's file may grow keys, the operator's is checked to the letter.
+    let mut value = value;
+    if !name.ends_with(".toml") {
+        const KEYS: [&str; 11] = [
+            "name",
+            "listen",
+            "discovery",
+            "seed",
+            "limits",
+            "known",
+            "settings",
+            "agent",
+            "health",
+            "iscsi",
+            "",
+        ];
+        if let Some(object) = value.as_object_mut() {
+            object.retain(|k, _| KEYS.contains(&k.as_str()));
+        }
+    }
+    let file: FileIn = section(value, "")?;
+    let mut setup = file.settings;
+    if let Some(object) = setup.as_object_mut() {
+        // Defaults for an operator who runs one front of his own.
+        object.entry("FleetSize").or_insert(1.into());
+    }
+    let settings = oxbowhill::wire::read_settings(setup.clone())
+        .map_err(|reason| Fault { key: "settings".into(), reason })?;
+    oxbowhill::Scheduler::new(settings.clone(), 0)
+        .map_err(|e| Fault { key: format!("settings ({})", e.field), reason: e.reason.into() })?;
+    let names: NamesIn = section(setup, "settings")?;
+    let writes = names.family_info.writes;
+    let classes: Vec<Class> = names
+        .classes
+        .into_iter()
+        .enumerate()
+        .map(|(i, c)| Class {
+            name: c.name,
+            deadline: Micros((c.deadline_s * 1e6) as i64),
+            write: writes.get(i).copied().unwrap_or(false),
+        })
+        .collect();
+    let plans: Vec<String> = names.contracts.into_iter().map(|p| p.name).collect();
+    let seed = match &file.seed {
+        None => 0,
+        Some(hex) => u64::from_str_radix(hex, 16)
+            .map_err(|_| Fault { key: "seed".into(), reason: format!("{hex:?} is not a hex number") })?,
+    };
+    let known = match &file.known {
+        None => Targets { generation: 0, whole: true, targets: vec![] },
+        Some(list) => targets(list.to_string().as_bytes(), &names.zones)
+            .map_err(|e| Fault { key: format!("known.{}", e.key), reason: e.reason })?,
+    };
+    if file.limits.sockets < 64 {
+        return fault("limits.sockets", "must be at least 64");
+    }
+    if file.limits.memory_mb < 32 {
+        return fault("limits.memory_mb", "must be at least 32");
+    }
+    if let Some(iscsi) = &file.iscsi {
+        check_iscsi(iscsi, &classes, &plans)?;
+    }
+    if file.listen.is_none() && file.iscsi.is_none() && name.ends_with(".toml") {
+        return fault("listen", "neither this nor iscsi.listen is there");
+    }
+    let idle = if names.limits.conn_idle_s > 0.0 { names.limits.conn_idle_s } else { 15.0 };
+    Ok(Config {
+        name: file.name.unwrap_or_else(|| "lichenrudder".into()),
+        listen: file.listen,
+        discovery: file.discovery,
+        seed,
+        limits: file.limits,
+        known,
+        settings,
+        classes,
+        plans,
+        zones: names.zones,
+        idle: Micros((idle * 1e6) as i64),
+        agent: file.agent,
+        health: file.health,
+        iscsi: file.iscsi,
+    })
+}
+
+fn section<T: for<'a> Deserialize<'a>>(value: Value, at: &str) -> Result<T, Fault> {
+    serde_path_to_error::deserialize(value).map_err(|e| {
+        let path = e.path().to_string();
+        let key = match (at, path.as_str()) {
+            ("", ".") => "file".into(),
+            ("", path) => path.to_string(),
+            (at, ".") => at.to_string(),
+            (at, path) => format!("{at}.{path}"),
+        };
+        Fault { key, reason: e.inner().to_string() }
+    })
+}
+
+fn check_iscsi(iscsi: &Iscsi, classes: &[Class], plans: &[String]) -> Result<(), Fault> {
+    if !iscsi.target.starts_with("iqn.") || iscsi.target.len() > 223 {
+        return fault("iscsi.target", "must be an iqn. name of at most 223 characters");
+    }
+    if iscsi.luns.is_empty() {
+        return fault("iscsi.lun", "one at least is needed");
+    }
+    if iscsi.record_s == 0 {
+        return fault("iscsi.record_s", "must be above 0");
+    }
+    for (i, lun) in iscsi.luns.iter().enumerate() {
+        let key = |k: &str| format!("iscsi.lun[{i}].{k}");
+        if iscsi.luns[..i].iter().any(|l| l.lun == lun.lun) {
+            return fault(key("lun"), "is there twice");
+        }
+        if lun.volume.len() != 16 || !lun.volume.bytes().all(|b| b.is_ascii_hexdigit()) {
+            return fault(key("volume"), "must be 16 hex digits");
+        }
+        if !plans.contains(&lun.plan) {
+            return fault(key("plan"), format!("unknown plan {:?}", lun.plan));
+        }
+        for (k, class, write) in
+            [("read_class", &lun.read_class, false), ("write_class", &lun.write_class, true)]
+        {
+            match classes.iter().find(|c| c.name == *class) {
+                None => return fault(key(k), format!("unknown class {class:?}")),
+                Some(c) if c.write != write => {
+                    return fault(key(k), format!("class {class:?} is of the other kind"))
+                }
+                Some(_) => {}
+            }
+        }
+        for (k, figure) in [
+            ("blocks", lun.blocks),
+            ("piece_blocks", lun.piece_blocks),
+            ("unit_blocks", lun.unit_blocks),
+            ("hosts", lun.hosts),
+        ] {
+            if figure == 0 {
+                return fault(key(k), "must be above 0");
+            }
+        }
+        if lun.deadline_ms == Some(0) {
+            return fault(key("deadline_ms"), "must be above 0");
+        }
+    }
+    Ok(())
+}
+
+/// Reads the configuration that the environment names.
+pub fn from_env(var: impl Fn(&str) -> Option<String>) -> Result<Config, Fault> {
+    let Some(path) = var("GW_CONFIG") else { return fault("GW_CONFIG", "is not set") };
+    let text = std::fs::read_to_string(&path)
+        .map_err(|e| Fault { key: "GW_CONFIG".into(), reason: format!("{path}: {e}") })?;
+    let mut config = read(&path, &text)?;
+    if let Some(name) = var("GW_NAME") {
+        config.name = name;
+    }
+    let address = |key: &str| match var(key) {
+        None => Ok(None),
+        Some(text) => match text.parse::<SocketAddr>() {
+            Ok(address) => Ok(Some(address)),
+            Err(_) => fault(key, format!("{text:?} is not an address and port")),
+        },
+    };
+    config.listen = address("GW_LISTEN")?.or(config.listen);
+    config.discovery = address("GW_DISCOVERY")?.or(config.discovery);
+    if config.listen.is_none() && config.iscsi.is_none() {
+        return fault("GW_LISTEN", "is not set");
+    }
+    Ok(config)
+}
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -98,7 +98,11 @@
                     let count = rest.len().min(usize::try_from(left).unwrap_or(usize::MAX));
                     body.extend_from_slice(&rest[..count]);
                     used += count;
-                    *self = if count as u64 == left { Chunks::LineEnd } else { Chunks::Data(left - count as u64) };
+                    *self = if count as u64 == left {
+                        Chunks::LineEnd
+                    } else {
+                        Chunks::Data(left - count as u64)
+                    };
                     if rest.is_empty() {
                         return Ok(used);
                     }
@@ -118,6 +122,7 @@
 
 /// A whole answer with a short body, after which the connection closes.
 pub fn answer(status: u16, reason: &str, body: &str) -> Vec<u8> {
-    let head = format!("HTTP/1.1 {status} {reason}\r\nContent-Type: text/plain\r\nContent-Length: {}", body.len());
+    let head =
+        format!("HTTP/1.1 {status} {reason}\r\nContent-Type: text/plain\r\nContent-Length: {}", body.len());
     format!("{head}\r\nConnection: close\r\n\r\n{body}").into_bytes()
 }
--- /dev/null
+++ b/crates/lichenrudder/src/clock.rs
@@ -0,0 +1,28 @@
+//! The program's one clock: Unix time in microseconds that never goes back.
+use oxbowhill::interface::Micros;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// The clock, as of the start.
+#[derive(Clone, Copy)]
+pub struct Clock {
+    unix: i64,
+    start: Instant,
+}
+
+impl Clock {
+    /// Reads the system's clocks once; from then on only the steady one counts.
+    pub fn start() -> Clock {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { unix: unix.as_micros() as i64, start: Instant::now() }
+    }
+
+    /// The time.
+    pub fn now(&self) -> Micros {
+        Micros(self.unix + self.start.elapsed().as_micros() as i64)
+    }
+
+    /// When a point in time comes.
+    pub fn instant(&self, at: Micros) -> Instant {
+        self.start + Duration::from_micros((at.0 - self.unix).max(0) as u64)
+    }
+}
--- /dev/null
+++ b/crates/lichenrudder/src/context.rs
@@ -0,0 +1,99 @@
+//! What the actors share: the executor, the clock, mailboxes, and counts of what is open.
+use crate::clock::Clock;
+use crate::module::Mail;
+use crate::peer::Peer;
+use async_channel::{Receiver, Sender};
+use async_executor::LocalExecutor;
+use config::Config;
+use oxbowhill::interface::{Micros, NodeId, RequestId};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+/// Shared by all actors of the program.
+pub struct Context {
+    /// The one thread's executor.
+    pub executor: LocalExecutor<'static>,
+    /// The clock.
+    pub clock: Clock,
+    /// The configuration.
+    pub config: Config,
+    /// The module's mailbox.
+    pub module: Sender<Mail>,
+    /// The peers, by node.
+    pub peers: RefCell<BTreeMap<NodeId, Peer>>,
+    /// Since when the program is to end.
+    pub stopping: Cell<Option<Micros>>,
+    /// Closed once the program is to end.
+    pub stopped: (Sender<()>, Receiver<()>),
+    /// Connections of clients.
+    pub clients: Cell<usize>,
+    /// Connections to disk boxes, with those that are coming up.
+    pub upstream: Cell<usize>,
+    /// Whether requests can be taken on.
+    pub serving: Cell<bool>,
+    /// Requests in the core's table.
+    pub open: Cell<usize>,
+    /// The share of the last second's requests that were refused, in percent.
+    pub refusing: Cell<u64>,
+    next: Cell<u64>,
+}
+
+impl Context {
+    /// A context without peers.
+    pub fn new(config: Config, module: Sender<Mail>) -> Rc<Context> {
+        Rc::new(Context {
+            executor: LocalExecutor::new(),
+            clock: Clock::start(),
+            config,
+            module,
+            peers: RefCell::default(),
+            stopping: Cell::new(None),
+            stopped: async_channel::bounded(1),
+            clients: Cell::new(0),
+            upstream: Cell::new(0),
+            serving: Cell::new(false),
+            open: Cell::new(0),
+            refusing: Cell::new(0),
+            next: Cell::new(0),
+        })
+    }
+
+    /// A number for a request, never used again.
+    pub fn number(&self) -> RequestId {
+        self.next.set(self.next.get() + 1);
+        RequestId(self.next.get())
+    }
+
+    /// Descriptors for clients: two fifths of what may be held; as much goes to disk boxes.
+    pub fn client_bound(&self) -> usize {
+        self.config.limits.sockets.min(1024) * 2 / 5
+    }
+
+    /// Descriptors for disk boxes.
+    pub fn upstream_bound(&self) -> usize {
+        self.config.limits.sockets.min(1024) * 2 / 5
+    }
+}
+
+/// Counts one thing while it lives.
+pub struct Count {
+    context: Rc<Context>,
+    which: fn(&Context) -> &Cell<usize>,
+}
+
+impl Count {
+    /// Counts one up.
+    pub fn up(context: &Rc<Context>, which: fn(&Context) -> &Cell<usize>) -> Count {
+        let count = which(context);
+        count.set(count.get() + 1);
+        Count { context: context.clone(), which }
+    }
+}
+
+impl Drop for Count {
+    fn drop(&mut self) {
+        let count = (self.which)(&self.context);
+        count.set(count.get() - 1);
+    }
+}
--- /dev/null
+++ b/crates/lichenrudder/src/list.rs
@@ -0,0 +1,126 @@
+//! The list's actor: one watch at discovery, resumed from the last version. The module paces its calls.
+use crate::context::Context;
+use crate::module::Mail;
+use crate::peer;
+use crate::wire::{Moved, Reason, Wire};
+use async_channel::Receiver;
+use async_io::Timer;
+use futures_lite::{future, StreamExt};
+use http::{Chunks, Length};
+use oxbowhill::interface::ListNews;
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Heartbeats come every 2 s; a watch that is silent for longer than two of them has broken.
+const SILENCE: Duration = Duration::from_millis(4500);
+/// How long a connection to discovery may take to come up.
+const CONNECT: Duration = Duration::from_secs(1);
+/// The longest line of a watch.
+const LINE: usize = 1024 * 1024;
+const BOUNDS: (usize, usize) = (64 * 1024, 4096);
+
+/// Runs until the program ends: each letter asks for the watch anew.
+pub async fn run(context: Rc<Context>, asked: Receiver<()>, discovery: SocketAddr) {
+    let mut asked = Box::pin(asked);
+    let version = Cell::new(context.config.known.generation);
+    let mut next = asked.next().await;
+    while next.is_some() {
+        let watching = async {
+            watch(&context, discovery, &version).await;
+            let _ = context.module.send(Mail::News(ListNews::Failed)).await;
+            None
+        };
+        next = match future::or(async { Some(asked.next().await) }, watching).await {
+            Some(again) => again,
+            None => asked.next().await,
+        };
+    }
+}
+
+async fn within<T>(time: Duration, work: impl std::future::Future<Output = Option<T>>) -> Option<T> {
+    future::or(work, async {
+        Timer::after(time).await;
+        None
+    })
+    .await
+}
+
+/// Follows one watch until it ends; what it told counts.
+async fn watch(context: &Rc<Context>, discovery: SocketAddr, version: &Cell<i64>) {
+    let up = within(CONNECT, async { Wire::connect("discovery", discovery, BOUNDS).await.ok() }).await;
+    let Some(mut wire) = up else {
+        eprintln!("conn kind=discovery peer={discovery} carried=0 reason={}", Reason::ConnectFailed);
+        return;
+    };
+    wire.reason = Reason::Replaced;
+    let ask = format!(
+        "GET /api/targets?watch=1&from={} HTTP/1.1\r\nHost: {discovery}\r\nAccept: application/json\r\n\r\n",
+        version.get()
+    );
+    wire.output.push(ask.as_bytes());
+    let (mut length, mut chunks, mut body) = (None, Chunks::default(), Vec::new());
+    wire.reason = loop {
+        match within(SILENCE, wire.next()).await {
+            Some(Ok(Moved::Wrote)) => continue,
+            Some(Ok(Moved::Read)) => {}
+            Some(Ok(Moved::End)) => break Reason::PeerClosed,
+            Some(Err(_)) => break Reason::Reset,
+            None => break Reason::Timeout,
+        }
+        if length.is_none() {
+            match http::answer_head(wire.input.contiguous()) {
+                Ok(None) => continue,
+                Ok(Some((200, form, used))) => {
+                    wire.input.consume(used);
+                    length = Some(form);
+                }
+                Ok(Some(_)) => break Reason::PeerClosed,
+                Err(_) => break Reason::Protocol,
+            }
+        }
+        let used = match length {
+            Some(Length::Chunked) => chunks.read(wire.input.contiguous(), &mut body),
+            _ => {
+                let bytes = wire.input.contiguous();
+                body.extend_from_slice(bytes);
+                Ok(bytes.len())
+            }
+        };
+        match used {
+            Ok(used) => wire.input.consume(used),
+            Err(_) => break Reason::Protocol,
+        }
+        let mut start = 0;
+        let mut faulty = false;
+        while let Some(end) = body[start..].iter().position(|b| *b == b'\n') {
+            let line = &body[start..start + end];
+            start += end + 1;
+            if line.iter().all(u8::is_ascii_whitespace) {
+                continue;
+            }
+            match config::targets(line, &context.config.zones) {
+                Ok(told) => {
+                    wire.carried += 1;
+                    version.set(told.generation);
+                    // Peers first: what the module has started and they have not must know of a drain.
+                    peer::update(context, &told.targets, told.whole);
+                    let _ = context.module.send(Mail::News(told.news())).await;
+                    context.serving.set(true);
+                }
+                Err(e) => {
+                    eprintln!("list error={e}");
+                    faulty = true;
+                }
+            }
+        }
+        body.drain(..start);
+        if faulty || body.len() > LINE {
+            break Reason::Protocol;
+        }
+        if chunks == Chunks::Done {
+            break Reason::Done;
+        }
+    };
+}
--- /dev/null
+++ b/crates/lichenrudder/src/main.rs
@@ -0,0 +1,113 @@
+//! lichenrudder: a front on real sockets round the decision module `oxbowhill`.
+mod clock;
+mod context;
+mod list;
+mod module;
+mod peer;
+mod platform;
+mod wire;
+
+use async_io::{Async, Timer};
+use async_signal::{Signal, Signals};
+use context::Context;
+use futures_lite::{future, StreamExt};
+use module::Mail;
+use std::net::{SocketAddr, TcpListener};
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// After SIGTERM new connections come for 0.4 s at most; nothing ends before.
+const ACCEPTING: i64 = 600_000;
+/// After SIGTERM nothing that was asked in time is owed for longer than this.
+const LONGEST: i64 = 6_000_000;
+
+fn main() -> ExitCode {
+    let words: Vec<String> = std::env::args().skip(1).collect();
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    let outcome = match words.as_slice() {
+        [] => start(),
+        ["config", "write", app] => {
+            config::application(app).map(|text| print!("{text}")).map_err(|e| e.to_string())
+        }
+        ["config", "check", file] => check(file),
+        _ => {
+            Err("usage: lichenrudder | lichenrudder config write APP | lichenrudder config check FILE".into())
+        }
+    };
+    match outcome {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("lichenrudder: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn check(file: &str) -> Result<(), String> {
+    let text = std::fs::read_to_string(file).map_err(|e| format!("{file}: {e}"))?;
+    let config = config::read(file, &text).map_err(|e| format!("{file}: {e}"))?;
+    println!(
+        "{file}: good; {} classes, {} plans, {} disk boxes",
+        config.classes.len(),
+        config.plans.len(),
+        config.known.targets.len()
+    );
+    Ok(())
+}
+
+fn bind(key: &str, address: SocketAddr) -> Result<Async<TcpListener>, String> {
+    Async::<TcpListener>::bind(address).map_err(|e| format!("{key}: cannot listen on {address}: {e}"))
+}
+
+fn start() -> Result<(), String> {
+    let config = config::from_env(|key| std::env::var(key).ok()).map_err(|e| e.to_string())?;
+    let (mail, inbox) = async_channel::bounded(module::MAILBOX);
+    let context = Context::new(config, mail);
+    async_io::block_on(context.executor.run(serve(context.clone(), inbox)))
+}
+
+async fn serve(context: Rc<Context>, inbox: async_channel::Receiver<Mail>) -> Result<(), String> {
+    let config = &context.config;
+    let listener = config.listen.map(|a| bind("GW_LISTEN", a)).transpose()?;
+    let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Usr1]).map_err(|e| e.to_string())?;
+    let (ask, asked) = async_channel::bounded(4);
+    peer::update(&context, &config.known.targets, true);
+    let known = config.known.news();
+    if let oxbowhill::interface::ListNews::Full(entries) = known {
+        let _ = context.module.send(Mail::News(oxbowhill::interface::ListNews::Cached(entries))).await;
+    }
+    let actor = module::run(context.clone(), inbox, ask);
+    context.executor.spawn(actor).detach();
+    if let Some(discovery) = config.discovery {
+        context.executor.spawn(list::run(context.clone(), asked, discovery)).detach();
+    }
+    context.serving.set(!config.known.targets.is_empty());
+    eprintln!("start name={} listen={:?}", config.name, config.listen);
+    if let Some(listener) = listener {
+        context.executor.spawn(platform::listen(context.clone(), listener)).detach();
+    }
+    while let Some(signal) = signals.next().await {
+        match signal {
+            Ok(Signal::Usr1) => drop(context.module.send(Mail::Print).await),
+            _ => break,
+        }
+    }
+    let since = context.clock.now();
+    eprintln!("stop open={} clients={}", context.open.get(), context.clients.get());
+    context.stopping.set(Some(since));
+    context.stopped.0.close();
+    loop {
+        Timer::after(Duration::from_millis(20)).await;
+        let passed = context.clock.now().0 - since.0;
+        let owed = context.clients.get() > 0;
+        if passed >= LONGEST || (passed >= ACCEPTING && !owed) {
+            break;
+        }
+    }
+    let _ = context.module.send(Mail::Print).await;
+    future::yield_now().await;
+    Timer::after(Duration::from_millis(5)).await;
+    eprintln!("end");
+    Ok(())
+}
--- /dev/null
+++ b/crates/lichenrudder/src/module.rs
@@ -0,0 +1,100 @@
+//! The module's actor: takes mail from fronts, peers and the list, and carries out what the core says.
+use crate::context::Context;
+use crate::peer::PeerMail;
+use async_channel::{Receiver, Sender};
+use async_io::Timer;
+use dispatch::{Answer, Bound, Core, Counters, Effect, Ended, Request};
+use futures_lite::{future, StreamExt};
+use oxbowhill::interface::{Ending, ListNews, Micros, RequestId, SettingsError};
+use std::rc::Rc;
+
+/// Where an answer goes: a front's connection, and the place in it.
+#[derive(Clone, Debug)]
+pub struct Ticket {
+    /// The place.
+    pub slot: u64,
+    /// The connection's mailbox.
+    pub to: Sender<(u64, Answer)>,
+}
+
+/// The module's mail.
+pub enum Mail {
+    /// A front has taken a request.
+    Take(RequestId, Request, Ticket),
+    /// Its client has gone.
+    Left(RequestId),
+    /// An attempt has ended.
+    Ended(Ended),
+    /// News of the list.
+    News(ListNews),
+    /// Print the counters.
+    Print,
+}
+
+/// The most mail that may wait.
+pub const MAILBOX: usize = 8192;
+
+/// Runs until the program ends.
+pub async fn run(context: Rc<Context>, mail: Receiver<Mail>, watch: Sender<()>) -> Result<(), SettingsError> {
+    let limits = context.config.limits;
+    // A quarter of the memory for what is held here; rings and the rest have theirs.
+    let bound = Bound { requests: 4096, bytes: limits.memory_mb.min(192) as usize * 1024 * 1024 / 4 };
+    let mut core: Core<Ticket> = Core::new(context.config.settings.clone(), context.config.seed, bound)?;
+    let mut mail = Box::pin(mail);
+    let (mut second, mut before) = (context.clock.now(), Counters::default());
+    loop {
+        let wake = core.next_wake().map(|at| context.clock.instant(at));
+        let timer = async {
+            match wake {
+                Some(at) => drop(Timer::at(at).await),
+                None => future::pending().await,
+            }
+            None
+        };
+        let mut next = future::or(async { Some(mail.next().await) }, timer).await;
+        if matches!(next, Some(None)) {
+            return Ok(());
+        }
+        let now = context.clock.now();
+        core.wake(now);
+        while let Some(Some(letter)) = next {
+            let now = context.clock.now();
+            match letter {
+                Mail::Take(id, request, ticket) => core.take(now, id, request, ticket),
+                Mail::Left(id) => core.left(now, id),
+                Mail::Ended(ended) => core.ended(now, ended),
+                Mail::News(news) => core.news(now, news),
+                Mail::Print => eprintln!("counters {} open={}", core.counters, core.open()),
+            }
+            carry_out(&context, &mut core, &watch);
+            next = mail.try_recv().ok().map(Some);
+        }
+        carry_out(&context, &mut core, &watch);
+        context.open.set(core.open());
+        if now.0 - second.0 >= 1_000_000 {
+            let taken = core.counters.taken - before.taken;
+            let refused = core.counters.refused + core.counters.bounded - before.refused - before.bounded;
+            context.refusing.set((100 * refused).checked_div(taken).unwrap_or(0));
+            (second, before) = (now, core.counters.clone());
+        }
+    }
+}
+
+fn carry_out(context: &Context, core: &mut Core<Ticket>, watch: &Sender<()>) {
+    while let Some(effect) = core.effects.pop_front() {
+        match effect {
+            Effect::Start(attempt) => {
+                let mailbox = context.peers.borrow().get(&attempt.node).map(|p| p.mail.clone());
+                let sent = mailbox.map(|m| m.try_send(PeerMail::Start(attempt.clone())));
+                // Guards against an attempt that is lost at a full mailbox: it was not sent, and ends so.
+                if !matches!(sent, Some(Ok(()))) {
+                    let now = context.clock.now();
+                    core.ended(Micros(now.0), attempt.ended(Ending::ConnectFailed));
+                }
+            }
+            // The connection's mailbox has room for every answer that it is owed; a closed one has gone.
+            Effect::Answer(ticket, answer) => drop(ticket.to.try_send((ticket.slot, answer))),
+            Effect::Watch => drop(watch.try_send(())),
+        }
+    }
+}
--- /dev/null
+++ b/crates/lichenrudder/src/peer.rs
@@ -0,0 +1,311 @@
+//! The actor of one disk box: it carries out attempts, each alone on a connection, and keeps idle connections.
+use crate::context::{Context, Count};
+use crate::module::Mail;
+use crate::wire::{Moved, Reason, Wire};
+use async_channel::{Receiver, Sender};
+use async_io::Timer;
+use config::{Speaks, Target};
+use dispatch::{Attempt, Bytes, Ended};
+use futures_lite::{future, StreamExt};
+use oxbowhill::interface::{Ending, Micros, NodeState};
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// A reply holds one value, the figures and the report; a command one value.
+const BOUNDS: (usize, usize) = (resp::LONGEST + 4096, resp::LONGEST + 4096);
+/// The most mail that may wait.
+const MAILBOX: usize = 1024;
+/// Idle connections that are kept for one disk box.
+const KEPT: usize = 48;
+/// Of the time after which the disk box closes an idle connection, the part for which it is used again.
+const FRESH: f64 = 0.6;
+
+/// What the list says of the disk box; read by attempts that are still waiting for a connection.
+pub struct Place {
+    /// Where it listens.
+    pub address: Cell<Option<SocketAddr>>,
+    /// Whether it has been told to be draining or gone.
+    pub closed: Cell<bool>,
+    /// When it last started.
+    started: Cell<Option<Micros>>,
+    /// How it is spoken to.
+    speaks: Cell<Speaks>,
+    /// Its sessions or connections belong to this life of it.
+    life: Cell<u32>,
+}
+
+/// A peer, as others see it.
+pub struct Peer {
+    /// Its mailbox.
+    pub mail: Sender<PeerMail>,
+    /// What the list says.
+    pub place: Rc<Place>,
+}
+
+/// A peer's mail.
+pub enum PeerMail {
+    /// Make an attempt.
+    Start(Attempt),
+    /// A connection that is free again.
+    Free(Connection),
+    /// The list has changed.
+    Changed,
+}
+
+/// A connection to the disk box that counts against the bound while it lives.
+pub struct Connection {
+    /// The connection itself.
+    pub wire: Wire,
+    _count: Count,
+    since: Micros,
+    life: u32,
+}
+
+/// Starts peers for new entries of the list and tells those that are there.
+pub fn update(context: &Rc<Context>, targets: &[Target], whole: bool) {
+    let mut peers = context.peers.borrow_mut();
+    if whole {
+        for (node, peer) in peers.iter() {
+            if !targets.iter().any(|t| t.entry.node == *node) {
+                peer.place.closed.set(true);
+            }
+        }
+    }
+    for target in targets {
+        let entry = &target.entry;
+        let peer = peers.entry(entry.node.clone()).or_insert_with(|| {
+            let (mail, inbox) = async_channel::bounded(MAILBOX);
+            let place = Rc::new(Place {
+                address: Cell::new(None),
+                closed: Cell::new(false),
+                started: Cell::new(entry.started),
+                speaks: Cell::new(target.speaks),
+                life: Cell::new(0),
+            });
+            let actor = run(context.clone(), place.clone(), inbox, mail.clone());
+            context.executor.spawn(actor).detach();
+            Peer { mail, place }
+        });
+        let place = &peer.place;
+        if place.started.replace(entry.started) < entry.started || place.address.get() != target.address {
+            place.life.set(place.life.get() + 1);
+        }
+        place.speaks.set(target.speaks);
+        place.address.set(target.address);
+        place.closed.set(entry.state != NodeState::Ready);
+        drop(peer.mail.try_send(PeerMail::Changed));
+    }
+}
+
+/// Whether an idle connection may carry a request: nothing has come on it, not even its end.
+async fn usable(connection: &mut Connection) -> bool {
+    future::poll_once(connection.wire.next()).await.is_none()
+}
+
+async fn run(context: Rc<Context>, place: Rc<Place>, inbox: Receiver<PeerMail>, own: Sender<PeerMail>) {
+    let mut inbox = Box::pin(inbox);
+    let mut idle: Vec<Connection> = Vec::new();
+    let fresh = (context.config.idle.0 as f64 * FRESH) as i64;
+    loop {
+        let sweep = async {
+            Timer::after(std::time::Duration::from_secs(1)).await;
+            Some(PeerMail::Changed)
+        };
+        let next = match idle.is_empty() {
+            true => inbox.next().await,
+            false => future::or(inbox.next(), sweep).await,
+        };
+        match next {
+            None => return,
+            Some(PeerMail::Start(attempt)) => {
+                let mut connection = None;
+                while let Some(mut free) = idle.pop() {
+                    if free.life == place.life.get() && usable(&mut free).await {
+                        connection = Some(free);
+                        break;
+                    }
+                }
+                let work = serve(context.clone(), place.clone(), attempt, connection, own.clone());
+                context.executor.spawn(work).detach();
+            }
+            Some(PeerMail::Free(connection)) => {
+                let mut connection = connection;
+                if place.closed.get() || connection.life != place.life.get() {
+                    connection.wire.reason = Reason::Drained;
+                } else if idle.len() >= KEPT {
+                    connection.wire.reason = Reason::Bound;
+                } else {
+                    idle.push(connection);
+                }
+            }
+            Some(PeerMail::Changed) => {
+                let now = context.clock.now();
+                for c in idle.iter_mut() {
+                    let dead = place.closed.get() || c.life != place.life.get();
+                    c.wire.reason = if dead { Reason::Drained } else { Reason::Idle };
+                }
+                idle.retain(|c| {
+                    !place.closed.get() && c.life == place.life.get() && now.0 - c.since.0 < fresh
+                });
+                idle.iter_mut().for_each(|c| c.wire.reason = Reason::PeerClosed);
+            }
+        }
+    }
+}
+
+/// Carries out one attempt and tells the module of its end.
+async fn serve(
+    context: Rc<Context>,
+    place: Rc<Place>,
+    attempt: Attempt,
+    free: Option<Connection>,
+    own: Sender<PeerMail>,
+) {
+    let connection = match free {
+        Some(connection) => Ok(connection),
+        None => connect(&context, &place, &attempt).await,
+    };
+    let ended = match connection {
+        Err(ending) => attempt.ended(ending),
+        // Guards the rule on drains: told meanwhile, this attempt must not start any more.
+        Ok(mut connection) if place.closed.get() => {
+            connection.wire.reason = Reason::Drained;
+            attempt.ended(Ending::ConnectFailed)
+        }
+        Ok(mut connection) => {
+            let (ended, keep) = exchange(&context, &attempt, &mut connection.wire).await;
+            connection.wire.carried += 1;
+            if keep {
+                connection.since = context.clock.now();
+                drop(own.try_send(PeerMail::Free(connection)));
+            }
+            ended
+        }
+    };
+    let _ = context.module.send(Mail::Ended(ended)).await;
+}
+
+/// A new connection, or how the attempt ends without one.
+async fn connect(context: &Rc<Context>, place: &Place, attempt: &Attempt) -> Result<Connection, Ending> {
+    let Some(address) = place.address.get() else { return Err(Ending::ConnectFailed) };
+    if context.upstream.get() >= context.upstream_bound() {
+        return Err(Ending::ConnectFailed);
+    }
+    let count = Count::up(context, |c| &c.upstream);
+    let life = place.life.get();
+    let patience = context.config.settings.connect_timeout.0;
+    let until = match patience {
+        0 => attempt.until,
+        patience => attempt.until.min(Micros(context.clock.now().0 + patience)),
+    };
+    let up = async { Wire::connect("box", address, BOUNDS).await.ok() };
+    let late = async {
+        Timer::at(context.clock.instant(until)).await;
+        None
+    };
+    match future::or(up, late).await {
+        Some(wire) => Ok(Connection { wire, _count: count, since: context.clock.now(), life }),
+        None => {
+            eprintln!("conn kind=box peer={address} carried=0 reason={}", Reason::ConnectFailed);
+            Err(Ending::ConnectFailed)
+        }
+    }
+}
+
+fn command(context: &Context, attempt: &Attempt) -> Vec<u8> {
+    let r = &attempt.request;
+    let wait = ((attempt.until.0 - context.clock.now().0) / 1000).max(1);
+    let class = context.config.classes.get(r.class).map_or("", |c| c.name.as_str());
+    let plan = context.config.plans.get(r.plan).map_or("", |p| p.as_str());
+    let shard = r.shard.map_or(-1, i64::from);
+    let comma = if r.extra.is_empty() { "" } else { "," };
+    let list = format!(
+        "c={class},t={plan},d={wait},volume={},units={},shard={shard},hosts={}{comma}{}",
+        r.volume, r.units, r.hosts, r.extra
+    );
+    let verb: &[u8] = if r.write { b"PWRITE" } else { b"PREAD" };
+    let mut words = vec![verb, r.piece.as_bytes(), r.name.as_bytes(), list.as_bytes()];
+    words.extend(r.body.as_deref());
+    let mut out = Vec::new();
+    resp::write_command(&mut out, &words);
+    out
+}
+
+/// What a reply says: how the attempt ended, the units served elsewhere, the value; none for no sense.
+fn outcome(reply: &resp::Reply<'_>) -> Option<(Ending, f64, Option<Bytes>)> {
+    match reply {
+        resp::Reply::Error(line) if line.starts_with(b"BUSY") => Some((Ending::Full, 0.0, None)),
+        resp::Reply::Error(line) => Some((Ending::Error, elsewhere(line), None)),
+        resp::Reply::Bulk(Some(value)) => Some((Ending::Ok, 0.0, Some(Bytes::from(*value)))),
+        resp::Reply::Array(parts) => match parts.first() {
+            Some(resp::Reply::Bulk(Some(value))) => {
+                let figures = match parts.get(1) {
+                    Some(resp::Reply::Bulk(Some(figures))) => elsewhere(figures),
+                    _ => 0.0,
+                };
+                Some((Ending::Ok, figures, Some(Bytes::from(*value))))
+            }
+            _ => None,
+        },
+        _ => None,
+    }
+}
+
+fn elsewhere(text: &[u8]) -> f64 {
+    let words = text.split(|b| b" ,".contains(b));
+    let cost = words.filter_map(|w| w.strip_prefix(b"cost=")).next();
+    cost.and_then(|c| std::str::from_utf8(c).ok()?.parse().ok())
+        .filter(|c: &f64| c.is_finite())
+        .unwrap_or(0.0)
+}
+
+/// Writes the command and reads its reply; also tells whether the connection may be used again.
+async fn exchange(context: &Context, attempt: &Attempt, wire: &mut Wire) -> (Ended, bool) {
+    wire.output.push(&command(context, attempt));
+    let mut late = Timer::at(context.clock.instant(attempt.until));
+    loop {
+        let moved = future::or(async { wire.next().await }, async {
+            (&mut late).await;
+            None
+        });
+        let moved = moved.await;
+        // Guards bookings: only before the last byte was written is it sure that nothing runs.
+        let unsent = !wire.output.is_empty();
+        let room = wire.input.room() > 0;
+        let ending = match moved {
+            Some(Ok(Moved::Wrote)) => continue,
+            Some(Ok(Moved::Read)) => match resp::reply(wire.input.contiguous()) {
+                Ok(None) if room => continue,
+                Ok(Some((reply, used))) => {
+                    let Some((ending, elsewhere, value)) = outcome(&reply) else {
+                        wire.reason = Reason::Protocol;
+                        return (attempt.ended(Ending::Error), false);
+                    };
+                    wire.input.consume(used);
+                    let clean = !unsent && wire.input.is_empty();
+                    if !clean {
+                        wire.reason = Reason::Protocol;
+                    }
+                    return (Ended { elsewhere, value, ..attempt.ended(ending) }, clean);
+                }
+                _ => {
+                    wire.reason = Reason::Protocol;
+                    return (
+                        attempt.ended(if unsent { Ending::ConnectFailed } else { Ending::Reset }),
+                        false,
+                    );
+                }
+            },
+            Some(Ok(Moved::End)) | Some(Err(_)) => {
+                wire.reason = Reason::Reset;
+                Ending::Reset
+            }
+            None => {
+                wire.reason = Reason::Timeout;
+                Ending::Timeout
+            }
+        };
+        return (attempt.ended(if unsent { Ending::ConnectFailed } else { ending }), false);
+    }
+}
--- /dev/null
+++ b/crates/lichenrudder/src/wire.rs
@@ -0,0 +1,153 @@
+//! A connection: a stream of what happens on it, with one ring buffer a direction.
+use async_io::Async;
+use futures_lite::{AsyncRead, AsyncWrite, Stream};
+use ring::Ring;
+use std::fmt;
+use std::io;
+use std::net::{SocketAddr, TcpStream};
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+/// What has happened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Moved {
+    /// Bytes came into `input`.
+    Read,
+    /// All of `output` was written.
+    Wrote,
+    /// The other side has ended its sending.
+    End,
+}
+
+/// Why a connection ended; the code on its log line.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reason {
+    /// The other side closed it.
+    PeerClosed,
+    /// It broke.
+    Reset,
+    /// What came can't be understood.
+    Protocol,
+    /// An attempt got no answer in time.
+    Timeout,
+    /// It did not come up, or not in time.
+    ConnectFailed,
+    /// It stood idle for long.
+    Idle,
+    /// Its disk box drains, is gone or has started again.
+    Drained,
+    /// The program ends.
+    Stopped,
+    /// A bound was reached.
+    Bound,
+    /// Its work is done.
+    Done,
+    /// The watch was asked for anew.
+    Replaced,
+}
+
+impl fmt::Display for Reason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Reason::PeerClosed => "peer-closed",
+            Reason::Reset => "reset",
+            Reason::Protocol => "protocol",
+            Reason::Timeout => "timeout",
+            Reason::ConnectFailed => "connect-failed",
+            Reason::Idle => "idle",
+            Reason::Drained => "drained",
+            Reason::Stopped => "stopped",
+            Reason::Bound => "bound",
+            Reason::Done => "done",
+            Reason::Replaced => "replaced",
+        })
+    }
+}
+
+/// The connection. It logs its end, with the reason that was set last.
+pub struct Wire {
+    stream: Async<TcpStream>,
+    kind: &'static str,
+    address: SocketAddr,
+    /// What has come and is not used up.
+    pub input: Ring,
+    /// What is to be written.
+    pub output: Ring,
+    /// Commands or answers that it carried.
+    pub carried: u64,
+    /// The reason for its end.
+    pub reason: Reason,
+    ended: bool,
+}
+
+impl Wire {
+    /// A connection that is up.
+    pub fn new(
+        stream: Async<TcpStream>,
+        kind: &'static str,
+        address: SocketAddr,
+        bounds: (usize, usize),
+    ) -> Wire {
+        // Without this a command's last bytes may wait for an acknowledgement.
+        let _ = stream.get_ref().set_nodelay(true);
+        let (input, output) = (Ring::new(bounds.0), Ring::new(bounds.1));
+        Wire { stream, kind, address, input, output, carried: 0, reason: Reason::PeerClosed, ended: false }
+    }
+
+    /// Opens a connection.
+    pub async fn connect(
+        kind: &'static str,
+        address: SocketAddr,
+        bounds: (usize, usize),
+    ) -> io::Result<Wire> {
+        let stream = Async::<TcpStream>::connect(address).await?;
+        Ok(Wire::new(stream, kind, address, bounds))
+    }
+}
+
+impl Drop for Wire {
+    fn drop(&mut self) {
+        eprintln!(
+            "conn kind={} peer={} carried={} reason={}",
+            self.kind, self.address, self.carried, self.reason
+        );
+    }
+}
+
+impl Stream for Wire {
+    type Item = io::Result<Moved>;
+
+    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        let this = &mut *self;
+        let mut wrote = false;
+        while !this.output.is_empty() {
+            match Pin::new(&mut this.stream).poll_write(cx, this.output.front()) {
+                Poll::Ready(Ok(0)) => return Poll::Ready(Some(Err(io::ErrorKind::WriteZero.into()))),
+                Poll::Ready(Ok(count)) => {
+                    this.output.consume(count);
+                    wrote = true;
+                }
+                Poll::Ready(Err(e)) => return Poll::Ready(Some(Err(e))),
+                Poll::Pending => break,
+            }
+        }
+        if wrote && this.output.is_empty() {
+            return Poll::Ready(Some(Ok(Moved::Wrote)));
+        }
+        if !this.ended && this.input.room() > 0 {
+            match Pin::new(&mut this.stream).poll_read(cx, this.input.space()) {
+                Poll::Ready(Ok(0)) => {
+                    this.ended = true;
+                    return Poll::Ready(Some(Ok(Moved::End)));
+                }
+                Poll::Ready(Ok(count)) => {
+                    this.input.commit(count);
+                    return Poll::Ready(Some(Ok(Moved::Read)));
+                }
+                Poll::Ready(Err(e)) => return Poll::Ready(Some(Err(e))),
+                Poll::Pending => {}
+            }
+        }
+        Poll::Pending
+    }
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -456,3 +456,8 @@
     }
     Ok(())
 }
+
+/// Reads the object that an instance is given at its start; an error names the key.
+pub fn read_settings(setup: Value) -> Result<Settings, String> {
+    settings(serde_json::from_value(setup).map_err(|e| e.to_string())?)
+}
