--- a/crates/lichenrudder/src/module.rs
+++ b/crates/lichenrudder/src/module.rs
@@ -5,7 +5,7 @@
 use async_io::Timer;
 use dispatch::{Answer, Bound, Core, Counters, Effect, Ended, Request};
 use futures_lite::{future, StreamExt};
-use oxbowhill::interface::{Ending, ListNews, Micros, RequestId, SettingsError};
+use oxbowhill::interface::{Ending, ListNews, RequestId, SettingsError};
 use std::rc::Rc;
 
 /// Where an answer goes: a front's connection, and the place in it.
@@ -85,11 +85,11 @@
         match effect {
             Effect::Start(attempt) => {
                 let mailbox = context.peers.borrow().get(&attempt.node).map(|p| p.mail.clone());
-                let sent = mailbox.map(|m| m.try_send(PeerMail::Start(attempt.clone())));
+                let sent = mailbox.is_some_and(|m| m.try_send(PeerMail::Start(attempt.clone())).is_ok());
                 // Guards against an attempt that is lost at a full mailbox: it was not sent, and ends so.
-                if !matches!(sent, Some(Ok(()))) {
+                if !sent {
                     let now = context.clock.now();
-                    core.ended(Micros(now.0), attempt.ended(Ending::ConnectFailed));
+                    core.ended(now, attempt.ended(Ending::ConnectFailed));
                 }
             }
             // The connection's mailbox has room for every answer that it is owed; a closed one has gone.
