--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -79,6 +79,8 @@
     pub address: Option<SocketAddr>,
     /// How it is spoken to.
     pub speaks: Speaks,
+    /// Its target's name, where it speaks iSCSI.
+    pub target: String,
 }
 
 /// One message of discovery.
@@ -242,6 +244,8 @@
     started_at_ms: i64,
     #[serde(default)]
     speaks: Speaks,
+    #[serde(default)]
+    target: Option<String>,
 }
 
 #[derive(Deserialize)]
@@ -307,6 +311,7 @@
             other => return fault("lifecycle", format!("unknown value {other:?}")),
         };
         let zone = zones.iter().position(|z| *z == t.zone).unwrap_or(zones.len()) as u32;
+        let target = t.target.unwrap_or_else(|| format!("iqn.2026-12.lichenrudder:{}", t.instance_id));
         targets.push(Target {
             entry: NodeEntry {
                 node: NodeId(t.instance_id.into()),
@@ -317,6 +322,7 @@
             },
             address: t.host_port.parse().ok(),
             speaks: t.speaks,
+            target,
         });
     }
     Ok(Targets { generation: read.generation, whole: read.reset, targets })
@@ -391,6 +397,10 @@
     if let Some(iscsi) = &file.iscsi {
         check_iscsi(iscsi, &classes, &plans)?;
     }
+    let boxes = known.targets.iter().position(|t| t.speaks == Speaks::Iscsi);
+    if let (Some(i), None) = (boxes, &file.iscsi) {
+        return fault(format!("known.instances[{i}].speaks"), "iscsi needs LUNs under iscsi.lun");
+    }
     if file.listen.is_none() && file.iscsi.is_none() && name.ends_with(".toml") {
         return fault("listen", "neither this nor iscsi.listen is there");
     }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -17,6 +17,15 @@
 /// rule allows 58 ms.
 const OVERDUE: i64 = 4_000;
 
+/// Blocks of a volume.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Extent {
+    /// The first.
+    pub first: u64,
+    /// How many.
+    pub blocks: u32,
+}
+
 /// What a client asks for.
 #[derive(Debug)]
 pub struct Request {
@@ -42,6 +51,8 @@
     pub extra: Rc<str>,
     /// What is to be written.
     pub body: Option<Bytes>,
+    /// Which blocks of the volume, where the client named blocks.
+    pub extent: Option<Extent>,
     /// Until when the client waits.
     pub until: Micros,
 }
--- /dev/null
+++ b/crates/lichenrudder/src/agent.rs
@@ -0,0 +1,125 @@
+//! What balancers ask for: the agent check (a line on connecting, as HAProxy reads it) and HTTP health checks.
+use crate::context::Context;
+use crate::wire::{Moved, Reason, Wire};
+use async_io::{Async, Timer};
+use futures_lite::{future, StreamExt};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// What a listener speaks.
+#[derive(Clone, Copy)]
+pub enum Form {
+    /// The agent check.
+    Agent,
+    /// HTTP.
+    Http,
+}
+
+/// Checks at once; what comes beyond is closed.
+const MOST: usize = 16;
+/// How long one check may take.
+const PATIENCE: Duration = Duration::from_secs(2);
+const BOUNDS: (usize, usize) = (16 * 1024, 4096);
+
+/// Answers checks until the program ends.
+pub async fn listen(context: Rc<Context>, listener: Async<TcpListener>, form: Form) {
+    let open = Rc::new(());
+    let mut incoming = Box::pin(listener.incoming());
+    while let Some(next) = incoming.next().await {
+        let Ok(stream) = next else {
+            Timer::after(Duration::from_millis(5)).await;
+            continue;
+        };
+        let Ok(address) = stream.get_ref().peer_addr() else { continue };
+        let (context, open) = (context.clone(), open.clone());
+        let executor = context.clone();
+        executor.executor.spawn(check(context, stream, address, form, open)).detach();
+    }
+}
+
+/// The agent's line: whether to send here, and how much, by how full the table is and how much is refused.
+fn line(context: &Context) -> String {
+    if context.stopping.get().is_some() {
+        return "drain\n".into();
+    }
+    if !context.serving.get() {
+        return "down\n".into();
+    }
+    let full = (100 * context.open.get() / crate::module::REQUESTS) as u64;
+    let weight = 100 - full.max(context.refusing.get()).min(99);
+    format!("up {weight}%\n")
+}
+
+fn page(context: &Context, bytes: &[u8]) -> Option<Vec<u8>> {
+    Some(match http::request_head(bytes) {
+        Ok(None) => return None,
+        Err(e) => http::answer(400, "Bad Request", e.0),
+        Ok(Some((method, _, _))) if method != "GET" && method != "HEAD" => {
+            http::answer(405, "Method Not Allowed", "GET or HEAD\n")
+        }
+        Ok(Some((method, target, _))) => {
+            let ready = context.serving.get() && context.stopping.get().is_none();
+            let mut answer = match target {
+                "/healthz" => http::answer(200, "OK", "ok\n"),
+                "/readyz" if ready => http::answer(200, "OK", "ready\n"),
+                "/readyz" => http::answer(503, "Service Unavailable", "not ready\n"),
+                _ => http::answer(404, "Not Found", "/healthz or /readyz\n"),
+            };
+            if method == "HEAD" {
+                let end = answer.windows(4).position(|w| w == b"\r\n\r\n").map_or(answer.len(), |at| at + 4);
+                answer.truncate(end);
+            }
+            answer
+        }
+    })
+}
+
+async fn check(
+    context: Rc<Context>,
+    stream: Async<TcpStream>,
+    address: SocketAddr,
+    form: Form,
+    open: Rc<()>,
+) {
+    let kind = match form {
+        Form::Agent => "agent",
+        Form::Http => "health",
+    };
+    let mut wire = Wire::new(stream, kind, address, BOUNDS);
+    if Rc::strong_count(&open) > MOST + 1 {
+        wire.reason = Reason::Bound;
+        return;
+    }
+    let talk = async {
+        let mut answered = false;
+        if matches!(form, Form::Agent) {
+            wire.output.push(line(&context).as_bytes());
+            answered = true;
+        }
+        loop {
+            match wire.next().await {
+                Some(Ok(Moved::Wrote)) if answered => return Reason::Done,
+                Some(Ok(Moved::Wrote)) => {}
+                Some(Ok(Moved::Read)) => match page(&context, wire.input.contiguous()) {
+                    _ if answered => wire.input.consume(usize::MAX),
+                    Some(answer) => {
+                        wire.output.push(&answer);
+                        answered = true;
+                    }
+                    None => {}
+                },
+                Some(Ok(Moved::End)) if answered => {}
+                Some(Ok(Moved::End)) | None => return Reason::PeerClosed,
+                Some(Err(_)) => return Reason::Reset,
+            }
+        }
+    };
+    let late = async {
+        Timer::after(PATIENCE).await;
+        Reason::Timeout
+    };
+    let reason = future::or(talk, late).await;
+    wire.carried += 1;
+    wire.reason = reason;
+}
--- /dev/null
+++ b/crates/lichenrudder/src/blocks.rs
@@ -0,0 +1,133 @@
+//! Attempts at a disk box that speaks iSCSI: each connection is a session that carries one command at a time.
+use crate::context::Context;
+use crate::peer::Connection;
+use crate::wire::{Moved, Reason};
+use async_io::Timer;
+use dispatch::{Attempt, Bytes, Ended, Extent};
+use futures_lite::{future, StreamExt};
+use iscsi::initiator::{Initiator, Told};
+use iscsi::scsi::{self, status};
+use iscsi::BLOCK;
+use oxbowhill::interface::Ending;
+
+/// The LUN and the blocks that a request is about; none where its volume has no LUN.
+fn extent(context: &Context, attempt: &Attempt) -> Option<(u8, Extent)> {
+    let request = &attempt.request;
+    let luns = &context.config.iscsi.as_ref()?.luns;
+    let lun = luns.iter().find(|l| *l.volume == *request.volume)?;
+    let extent = request.extent.unwrap_or_else(|| {
+        // A client that names pieces: each has its place on the volume.
+        let pieces = u64::from(lun.blocks / lun.piece_blocks).max(1);
+        let piece = u64::from_str_radix(&request.piece, 16).unwrap_or(0) % pieces;
+        let blocks = match &request.body {
+            Some(body) => body.len().div_ceil(BLOCK) as u32,
+            None => request.units.saturating_mul(lun.unit_blocks),
+        };
+        let most = (iscsi::LONGEST / BLOCK) as u32;
+        Extent { first: piece * u64::from(lun.piece_blocks), blocks: blocks.clamp(1, most.min(lun.blocks)) }
+    });
+    Some((lun.lun, extent))
+}
+
+/// Logs in where the connection is new, sends the command and gathers its outcome; also tells whether the
+/// connection may be used again.
+pub async fn exchange(
+    context: &Context,
+    attempt: &Attempt,
+    connection: &mut Connection,
+    target: &str,
+) -> (Ended, bool) {
+    let Some((lun, extent)) = extent(context, attempt) else { return (attempt.ended(Ending::Moot), true) };
+    let body = attempt.request.body.as_ref().filter(|_| attempt.request.write).map(|body| {
+        let mut padded = body.to_vec();
+        padded.resize(extent.blocks as usize * BLOCK, 0);
+        padded
+    });
+    let cdb = scsi::transfer(attempt.request.write, extent.first, extent.blocks);
+    let expected = extent.blocks as usize * BLOCK;
+    let Connection { wire, session, .. } = connection;
+    let mut out = Vec::new();
+    let mut begun = session.is_some();
+    let session = session.get_or_insert_with(Initiator::default);
+    if begun {
+        session.command(lun, &cdb, body.as_deref(), expected, &mut out);
+    } else {
+        let name = format!("iqn.2026-12.lichenrudder:front-{}", context.config.name);
+        // A session of its own for each connection: a random part that this front never uses again.
+        let [.., a, b, c, d] = context.number().0.to_be_bytes();
+        session.login(&name, Some(target), [0x80, a, b, c, d, 0], &mut out);
+    }
+    let mut late = Timer::at(context.clock.instant(attempt.until));
+    let mut written = false;
+    loop {
+        if !wire.output.push(&out) {
+            wire.reason = Reason::Bound;
+            return (attempt.ended(if written { Ending::Reset } else { Ending::ConnectFailed }), false);
+        }
+        out.clear();
+        let moved = future::or(async { wire.next().await }, async {
+            (&mut late).await;
+            None
+        });
+        let moved = moved.await;
+        // Guards bookings: the box has the command once its first PDU is written, whatever data it still asks
+        // for, and may have begun to write. Only before that it is sure that nothing ran.
+        written |= begun && wire.output.is_empty();
+        let maybe = |ending| if written { ending } else { Ending::ConnectFailed };
+        let ending = match moved {
+            Some(Ok(Moved::Wrote)) => continue,
+            Some(Ok(Moved::Read)) => loop {
+                match session.read(wire.input.contiguous(), &mut out) {
+                    Ok((0, _)) => break None,
+                    Ok((used, told)) => {
+                        wire.input.consume(used);
+                        match told {
+                            Told::LoggedIn if !begun => {
+                                begun = true;
+                                session.command(lun, &cdb, body.as_deref(), expected, &mut out);
+                            }
+                            Told::Done { status: code, data, .. } => {
+                                let ending = match code {
+                                    status::GOOD => Ending::Ok,
+                                    status::BUSY | status::TASK_SET_FULL => Ending::Full,
+                                    _ => Ending::Error,
+                                };
+                                let value = (ending == Ending::Ok).then(|| Bytes::from(data));
+                                let keep = wire.output.is_empty() && wire.input.is_empty();
+                                wire.reason = Reason::Protocol;
+                                if keep {
+                                    wire.reason = Reason::PeerClosed;
+                                }
+                                return (Ended { value, ..attempt.ended(ending) }, keep);
+                            }
+                            Told::Rejected(_) => {
+                                wire.reason = Reason::Protocol;
+                                break Some(maybe(Ending::Error));
+                            }
+                            Told::LoggedOut => {
+                                wire.reason = Reason::PeerClosed;
+                                break Some(maybe(Ending::Reset));
+                            }
+                            _ => {}
+                        }
+                    }
+                    Err(_) => {
+                        wire.reason = Reason::Protocol;
+                        break Some(maybe(Ending::Reset));
+                    }
+                }
+            },
+            Some(Ok(Moved::End)) | Some(Err(_)) => {
+                wire.reason = Reason::Reset;
+                Some(maybe(Ending::Reset))
+            }
+            None => {
+                wire.reason = Reason::Timeout;
+                Some(maybe(Ending::Timeout))
+            }
+        };
+        if let Some(ending) = ending {
+            return (attempt.ended(ending), false);
+        }
+    }
+}
--- a/crates/lichenrudder/src/context.rs
+++ b/crates/lichenrudder/src/context.rs
@@ -65,6 +65,11 @@
         RequestId(self.next.get())
     }
 
+    /// A number for a session, not 0.
+    pub fn session(&self) -> u16 {
+        (self.number().0 % 0xffff) as u16 + 1
+    }
+
     /// Descriptors for clients: two fifths of what may be held; as much goes to disk boxes.
     pub fn client_bound(&self) -> usize {
         self.config.limits.sockets.min(1024) * 2 / 5
--- a/crates/lichenrudder/src/main.rs
+++ b/crates/lichenrudder/src/main.rs
@@ -1,10 +1,14 @@
 //! lichenrudder: a front on real sockets round the decision module `oxbowhill`.
+mod agent;
+mod blocks;
 mod clock;
 mod context;
+mod iscsi_front;
 mod list;
 mod module;
 mod peer;
 mod platform;
+mod record;
 mod wire;
 
 use async_io::{Async, Timer};
@@ -87,6 +91,18 @@
     if let Some(listener) = listener {
         context.executor.spawn(platform::listen(context.clone(), listener)).detach();
     }
+    if let Some(front) = &config.iscsi {
+        let listener = bind("iscsi.listen", front.listen)?;
+        context.executor.spawn(iscsi_front::listen(context.clone(), front.clone(), listener)).detach();
+    }
+    for (key, what, form) in
+        [("agent", &config.agent, agent::Form::Agent), ("health", &config.health, agent::Form::Http)]
+    {
+        if let Some(at) = what {
+            let listener = bind(&format!("{key}.listen"), at.listen)?;
+            context.executor.spawn(agent::listen(context.clone(), listener, form)).detach();
+        }
+    }
     while let Some(signal) = signals.next().await {
         match signal {
             Ok(Signal::Usr1) => drop(context.module.send(Mail::Print).await),
--- a/crates/lichenrudder/src/peer.rs
+++ b/crates/lichenrudder/src/peer.rs
@@ -1,4 +1,5 @@
 //! The actor of one disk box: it carries out attempts, each alone on a connection, and keeps idle connections.
+use crate::blocks;
 use crate::context::{Context, Count};
 use crate::module::Mail;
 use crate::wire::{Moved, Reason, Wire};
@@ -7,13 +8,14 @@
 use config::{Speaks, Target};
 use dispatch::{Attempt, Bytes, Ended};
 use futures_lite::{future, StreamExt};
+use iscsi::initiator::Initiator;
 use oxbowhill::interface::{Ending, Micros, NodeState};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 /// A reply holds one value, the figures and the report; a command one value.
-const BOUNDS: (usize, usize) = (resp::LONGEST + 4096, resp::LONGEST + 4096);
+const BOUNDS: (usize, usize) = (resp::LONGEST + 4096, resp::LONGEST + 16 * 1024);
 /// The most mail that may wait.
 const MAILBOX: usize = 1024;
 /// Idle connections that are kept for one disk box.
@@ -30,7 +32,9 @@
     /// When it last started.
     started: Cell<Option<Micros>>,
     /// How it is spoken to.
-    speaks: Cell<Speaks>,
+    pub speaks: Cell<Speaks>,
+    /// Its target's name, for iSCSI.
+    pub target: RefCell<String>,
     /// Its sessions or connections belong to this life of it.
     life: Cell<u32>,
 }
@@ -48,7 +52,7 @@
     /// Make an attempt.
     Start(Attempt),
     /// A connection that is free again.
-    Free(Connection),
+    Free(Box<Connection>),
     /// The list has changed.
     Changed,
 }
@@ -57,6 +61,8 @@
 pub struct Connection {
     /// The connection itself.
     pub wire: Wire,
+    /// The session on it, for iSCSI.
+    pub session: Option<Initiator>,
     _count: Count,
     since: Micros,
     life: u32,
@@ -81,6 +87,7 @@
                 closed: Cell::new(false),
                 started: Cell::new(entry.started),
                 speaks: Cell::new(target.speaks),
+                target: RefCell::new(target.target.clone()),
                 life: Cell::new(0),
             });
             let actor = run(context.clone(), place.clone(), inbox, mail.clone());
@@ -129,14 +136,13 @@
                 let work = serve(context.clone(), place.clone(), attempt, connection, own.clone());
                 context.executor.spawn(work).detach();
             }
-            Some(PeerMail::Free(connection)) => {
-                let mut connection = connection;
+            Some(PeerMail::Free(mut connection)) => {
                 if place.closed.get() || connection.life != place.life.get() {
                     connection.wire.reason = Reason::Drained;
                 } else if idle.len() >= KEPT {
                     connection.wire.reason = Reason::Bound;
                 } else {
-                    idle.push(connection);
+                    idle.push(*connection);
                 }
             }
             Some(PeerMail::Changed) => {
@@ -174,11 +180,17 @@
             attempt.ended(Ending::ConnectFailed)
         }
         Ok(mut connection) => {
-            let (ended, keep) = exchange(&context, &attempt, &mut connection.wire).await;
+            let (ended, keep) = match place.speaks.get() {
+                Speaks::Resp => exchange(&context, &attempt, &mut connection.wire).await,
+                Speaks::Iscsi => {
+                    let target = place.target.borrow().clone();
+                    blocks::exchange(&context, &attempt, &mut connection, &target).await
+                }
+            };
             connection.wire.carried += 1;
             if keep {
                 connection.since = context.clock.now();
-                drop(own.try_send(PeerMail::Free(connection)));
+                drop(own.try_send(PeerMail::Free(Box::new(connection))));
             }
             ended
         }
@@ -205,7 +217,7 @@
         None
     };
     match future::or(up, late).await {
-        Some(wire) => Ok(Connection { wire, _count: count, since: context.clock.now(), life }),
+        Some(wire) => Ok(Connection { wire, session: None, _count: count, since: context.clock.now(), life }),
         None => {
             eprintln!("conn kind=box peer={address} carried=0 reason={}", Reason::ConnectFailed);
             Err(Ending::ConnectFailed)
--- a/crates/lichenrudder/src/platform.rs
+++ b/crates/lichenrudder/src/platform.rs
@@ -142,6 +142,7 @@
         hosts,
         extra: extra.join(",").into(),
         body: words.get(4).map(|b| Bytes::from(*b)),
+        extent: None,
         until: Micros(came.0 + i64::from(wait) * 1000 - ON_THE_WAY),
     })
 }
