--- a/crates/lichenrudder/tests/common/mod.rs
+++ b/crates/lichenrudder/tests/common/mod.rs
@@ -1,5 +1,5 @@
 //! Starts the program on loopback addresses of its own, and plays recorded byte exchanges against it.
-#![allow(dead_code)]
+#![allow(dead_code, clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 use std::collections::BTreeMap;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
