--- a/crates/iscsi/src/initiator.rs
+++ b/crates/iscsi/src/initiator.rs
@@ -40,6 +40,7 @@
     status_number: u32,
     segment: usize,
     first_burst: usize,
+    offered: Option<usize>,
     immediate: bool,
     full: bool,
     lun: u8,
@@ -49,15 +50,16 @@
 }
 
 impl Initiator {
+    /// A session that offers so many bytes as its first burst: what is longer is sent when asked for.
+    pub fn with_first_burst(bytes: usize) -> Initiator {
+        Initiator { offered: Some(bytes), ..Initiator::default() }
+    }
+
     /// Begins a session: with a target, or to ask which there are.
     pub fn login(&mut self, name: &str, target: Option<&str>, isid: [u8; 6], out: &mut Vec<u8>) {
-        *self = Initiator {
-            tag: self.tag,
-            command_number: 1,
-            segment: 8192,
-            first_burst: LONGEST,
-            ..Self::default()
-        };
+        let (tag, offered) = (self.tag, self.offered);
+        let first_burst = offered.unwrap_or(LONGEST);
+        *self = Initiator { tag, offered, first_burst, command_number: 1, segment: 8192, ..Self::default() };
         let mut head = Head::new(op::LOGIN | 0x40, FINAL | 0x07, 0);
         head.0[8..14].copy_from_slice(&isid);
         head.put(24, self.command_number);
@@ -67,13 +69,13 @@
             Some(target) => text::put(&mut data, "TargetName", target),
             None => text::put(&mut data, "SessionType", "Discovery"),
         }
-        let longest = LONGEST.to_string();
+        let (longest, first) = (LONGEST.to_string(), first_burst.to_string());
         let keys = [
             ("HeaderDigest", "None"),
             ("DataDigest", "None"),
             ("MaxRecvDataSegmentLength", longest.as_str()),
             ("MaxBurstLength", &longest),
-            ("FirstBurstLength", &longest),
+            ("FirstBurstLength", &first),
             ("ImmediateData", "Yes"),
             ("InitialR2T", "Yes"),
             ("ErrorRecoveryLevel", "0"),
@@ -129,7 +131,12 @@
     /// Takes the first PDU off the bytes and returns how many it used: none while it is not whole.
     pub fn read(&mut self, bytes: &[u8], out: &mut Vec<u8>) -> Result<(usize, Told), Malformed> {
         let Some((head, data, used)) = pdu(bytes)? else { return Ok((0, Told::Nothing)) };
-        let numbered = !matches!(head.opcode(), op::DATA_IN | op::R2T);
+        // Guards the count of statuses: data carries one only where it says so, a ping of the target's never.
+        let numbered = match head.opcode() {
+            op::DATA_IN => head.flags() & 1 == 1,
+            op::NOP_IN => head.tag() != NO_TAG,
+            opcode => opcode != op::R2T,
+        };
         if numbered {
             self.status_number = head.word(24).wrapping_add(1);
         }
--- a/crates/lichenrudder/tests/common/mod.rs
+++ b/crates/lichenrudder/tests/common/mod.rs
@@ -94,7 +94,8 @@
 }
 
 /// Reads `"text"`, hex bytes, `HEX*COUNT` for repeated ones, `??` for any byte, `{n}` in text for digits, and
-/// `cmd WORD...` for a RESP2 command. `chunk LINE` is a line of discovery, sent as a chunk in three parts.
+/// `cmd WORD...` for a RESP2 command. `pdu HEAD | DATA` fills in
+/// the length of an iSCSI PDU's data and pads it. `chunk LINE` is a line of discovery, sent as a chunk in three parts.
 fn pattern(text: &str) -> Vec<Item> {
     let mut items = Vec::new();
     if let Some(words) = text.strip_prefix("cmd ") {
@@ -105,6 +106,14 @@
         }
         return items;
     }
+    if let Some((head, data)) = text.strip_prefix("pdu ").and_then(|t| t.split_once('|')) {
+        let (mut head, data) = (pattern(head), pattern(data));
+        assert_eq!(head.len(), 48, "{text}");
+        let length = (data.len() as u32).to_be_bytes();
+        (1..4).for_each(|i| head[4 + i] = Item::Byte(length[i]));
+        let padding = data.len().next_multiple_of(4) - data.len();
+        return [head, data, vec![Item::Byte(0); padding]].concat();
+    }
     let mut rest = text.trim();
     while !rest.is_empty() {
         if let Some(quoted) = rest.strip_prefix('"') {
