--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -300,15 +300,16 @@
 /// Reads one message of discovery; times on it are Unix milliseconds, which are turned into the clock's
 /// microseconds here and nowhere else.
 pub fn targets(text: &[u8], zones: &[String]) -> Result<Targets, Fault> {
-    let read: TargetsIn =
-        serde_json::from_slice(text).map_err(|e| Fault { key: "discovery".into(), reason: e.to_string() })?;
+    let mut json = serde_json::Deserializer::from_slice(text);
+    let read: TargetsIn = serde_path_to_error::deserialize(&mut json)
+        .map_err(|e| Fault { key: e.path().to_string(), reason: e.inner().to_string() })?;
     let mut targets = Vec::with_capacity(read.instances.len());
-    for t in read.instances {
+    for (i, t) in read.instances.into_iter().enumerate() {
         let state = match t.lifecycle.as_str() {
             "active" => NodeState::Ready,
             "leaving" => NodeState::Draining,
             "left" => NodeState::Gone,
-            other => return fault("lifecycle", format!("unknown value {other:?}")),
+            other => return fault(format!("instances[{i}].lifecycle"), format!("unknown value {other:?}")),
         };
         let zone = zones.iter().position(|z| *z == t.zone).unwrap_or(zones.len()) as u32;
         let target = t.target.unwrap_or_else(|| format!("iqn.2026-12.lichenrudder:{}", t.instance_id));
--- /dev/null
+++ b/crates/http/tests/parts.rs
@@ -0,0 +1,32 @@
+//! Heads and chunks, in whatever parts they come.
+#![allow(clippy::unwrap_used)]
+use http::{answer_head, request_head, Chunks, Length};
+
+#[test]
+fn an_answer_with_chunks_byte_by_byte() {
+    let head = b"HTTP/1.1 200 OK\r\nServer: x\r\ntransfer-encoding: Chunked\r\nContent-Length: 9\r\n\r\n";
+    for part in 0..head.len() {
+        assert_eq!(answer_head(&head[..part]), Ok(None));
+    }
+    assert_eq!(answer_head(head), Ok(Some((200, Length::Chunked, head.len()))));
+    let body = b"5;x=y\r\nhello\r\n1\r\n\n\r\n0\r\n\r\n";
+    let (mut chunks, mut got, mut waiting) = (Chunks::default(), vec![], vec![]);
+    for byte in body {
+        waiting.push(*byte);
+        let used = chunks.read(&waiting, &mut got).unwrap();
+        waiting.drain(..used);
+    }
+    assert_eq!((got.as_slice(), chunks), (&b"hello\n"[..], Chunks::Done));
+}
+
+#[test]
+fn what_makes_no_sense() {
+    assert!(answer_head(b"SMTP 220\r\n\r\n").is_err());
+    assert!(answer_head(b"HTTP/1.1 200 OK\r\nContent-Length: many\r\n\r\n").is_err());
+    assert!(answer_head(&[b'x'; 9000]).is_err(), "guards against a head without end");
+    assert!(request_head(b"GET /\r\n\r\n").is_err());
+    assert!(Chunks::Size.read(b"zz\r\n", &mut vec![]).is_err());
+    assert!(Chunks::Size.read(&[b'1'; 300], &mut vec![]).is_err());
+    assert!(Chunks::LineEnd.read(b"xx", &mut vec![]).is_err());
+    assert_eq!(Chunks::Size.read(b"ffffffffffffffff\r\nx", &mut vec![]), Ok(19), "a huge chunk is not held");
+}
--- a/crates/lichenrudder/src/list.rs
+++ b/crates/lichenrudder/src/list.rs
@@ -13,8 +13,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Heartbeats come every 2 s; a watch that is silent for longer than two of them has broken.
-const SILENCE: Duration = Duration::from_millis(4500);
+/// Heartbeats come every 2 s; a watch that is silent for longer has broken. What discovery tells counts as told
+/// after 6 s, whether it arrived or not: there must be time left to ask anew, and to wait in discovery's turn.
+const SILENCE: Duration = Duration::from_millis(3200);
 /// How long a connection to discovery may take to come up.
 const CONNECT: Duration = Duration::from_secs(1);
 /// The longest line of a watch.
@@ -27,14 +28,20 @@
     let version = Cell::new(context.config.known.generation);
     let mut next = asked.next().await;
     while next.is_some() {
-        let watching = async {
-            watch(&context, discovery, &version).await;
+        let answered = Cell::new(false);
+        let mut watching = Box::pin(async {
+            watch(&context, discovery, &version, &answered).await;
             let _ = context.module.send(Mail::News(ListNews::Failed)).await;
             None
-        };
-        next = match future::or(async { Some(asked.next().await) }, watching).await {
-            Some(again) => again,
-            None => asked.next().await,
+        });
+        next = loop {
+            match future::or(async { Some(asked.next().await) }, &mut watching).await {
+                // Guards discovery, which takes calls in turn: one that still waits for its answer is not given
+                // up for another, which would have to wait behind it.
+                Some(Some(())) if !answered.get() => {}
+                Some(again) => break again,
+                None => break asked.next().await,
+            }
         };
     }
 }
@@ -48,7 +55,7 @@
 }
 
 /// Follows one watch until it ends; what it told counts.
-async fn watch(context: &Rc<Context>, discovery: SocketAddr, version: &Cell<i64>) {
+async fn watch(context: &Rc<Context>, discovery: SocketAddr, version: &Cell<i64>, answered: &Cell<bool>) {
     let up = within(CONNECT, async { Wire::connect("discovery", discovery, BOUNDS).await.ok() }).await;
     let Some(mut wire) = up else {
         eprintln!("conn kind=discovery peer={discovery} carried=0 reason={}", Reason::ConnectFailed);
@@ -75,6 +82,7 @@
                 Ok(Some((200, form, used))) => {
                     wire.input.consume(used);
                     length = Some(form);
+                    answered.set(true);
                 }
                 Ok(Some(_)) => break Reason::PeerClosed,
                 Err(_) => break Reason::Protocol,
--- /dev/null
+++ b/crates/resp/tests/parts.rs
@@ -0,0 +1,47 @@
+//! Whatever part of a message is there, it is read as whole, partial or malformed, and never otherwise.
+#![allow(clippy::unwrap_used)]
+use resp::{command, reply, Malformed, Reply};
+
+#[test]
+fn a_command_in_parts() {
+    let mut bytes = vec![];
+    resp::write_command(&mut bytes, &[b"PWRITE", b"", b"a\r\nb"]);
+    for part in 0..bytes.len() {
+        assert_eq!(command(&bytes[..part]), Ok(None), "{part}");
+    }
+    let length = bytes.len();
+    bytes.extend_from_slice(b"*1\r\n");
+    assert_eq!(command(&bytes), Ok(Some((vec![&b"PWRITE"[..], b"", b"a\r\nb"], length))));
+}
+
+#[test]
+fn a_reply_in_parts() {
+    let bytes = b"*3\r\n$2\r\nok\r\n$-1\r\n*2\r\n:-7\r\n-ERR x\r\n";
+    for part in 0..bytes.len() {
+        assert_eq!(reply(&bytes[..part]), Ok(None), "{part}");
+    }
+    let inner = Reply::Array(vec![Reply::Number(-7), Reply::Error(b"ERR x")]);
+    let whole = Reply::Array(vec![Reply::Bulk(Some(b"ok")), Reply::Bulk(None), inner]);
+    assert_eq!(reply(bytes), Ok(Some((whole, bytes.len()))));
+}
+
+#[test]
+fn what_no_reader_should_wait_for() {
+    let long = [b"*".as_slice(), &[b'1'; 2000]].concat();
+    for bytes in [
+        &b"GET /"[..],
+        b"*0\r\n",
+        b"*-1\r\n",
+        b"*1\r\n$-1\r\n",
+        b"*1\r\n$70000\r\n",
+        b"*1\nx",
+        b"*65\r\n",
+        &long,
+    ] {
+        assert!(command(bytes).is_err(), "{}", bytes.escape_ascii());
+    }
+    // Guards the stack: arrays in arrays, without end.
+    assert_eq!(reply(&b"*1\r\n".repeat(100_000)), Err(Malformed("an array is too large")));
+    assert!(reply(b"*1000000\r\n").is_err());
+    assert!(reply(b"?\r\n").is_err());
+}
