--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -402,6 +402,9 @@
     if let (Some(i), None) = (boxes, &file.iscsi) {
         return fault(format!("known.instances[{i}].speaks"), "iscsi needs LUNs under iscsi.lun");
     }
+    if known.targets.is_empty() && file.discovery.is_none() && name.ends_with(".toml") {
+        return fault("known.instances", "no disk box, and no discovery to tell of one");
+    }
     if file.listen.is_none() && file.iscsi.is_none() && name.ends_with(".toml") {
         return fault("listen", "neither this nor iscsi.listen is there");
     }
--- a/crates/iscsi/src/target.rs
+++ b/crates/iscsi/src/target.rs
@@ -3,7 +3,7 @@
 use crate::pdu::{op, pdu, Head, Malformed, FINAL, HEAD, NO_TAG};
 use crate::scsi::{self, status, Disk, Sense};
 use crate::{text, BLOCK, LONGEST};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 
 /// Commands that may be unanswered on one connection.
@@ -116,6 +116,10 @@
     burst: usize,
     tasks: BTreeMap<u32, Task>,
     next_transfer: u32,
+    /// Whether the initiator has named the target.
+    named: bool,
+    /// Transfers of writes that were aborted: their data may still come.
+    dropped: VecDeque<u32>,
 }
 
 impl Target {
@@ -136,6 +140,8 @@
             burst: LONGEST,
             tasks: BTreeMap::new(),
             next_transfer: 1,
+            named: false,
+            dropped: VecDeque::new(),
         }
     }
 
@@ -273,6 +279,10 @@
         if target.is_some_and(|t| t != self.shown.name) {
             return refuse(self, [2, 3], answer, out);
         }
+        self.named |= target.is_some();
+        if self.normal && !self.named {
+            return refuse(self, [2, 7], answer, out);
+        }
         let (stage, next) = (head.flags() >> 2 & 3, head.flags() & 3);
         let transit = head.flags() & FINAL != 0;
         if stage > 1 || (transit && next <= stage) || (transit && next == 2) {
@@ -471,6 +481,9 @@
             }
             fits
         });
+        if !fits && self.dropped.contains(&head.word(20)) {
+            return Ok(());
+        }
         if !fits {
             // Guards against blocks put together wrongly: nothing of the write runs, and the session ends.
             self.reject(0x04, head, out);
@@ -494,8 +507,13 @@
                 return;
             }
             (1, Some(task)) => {
-                let write = task.write;
+                let (write, transfer) = (task.write, task.transfer);
                 self.tasks.remove(&other);
+                if write {
+                    // Guards the session: data that was on its way is passed over, and no fault.
+                    self.dropped.truncate(TASKS);
+                    self.dropped.push_front(transfer);
+                }
                 if !write {
                     events.push(Event::Aborted(other));
                 }
--- a/crates/lichenrudder/src/agent.rs
+++ b/crates/lichenrudder/src/agent.rs
@@ -1,6 +1,6 @@
 //! What balancers ask for: the agent check (a line on connecting, as HAProxy reads it) and HTTP health checks.
 use crate::context::Context;
-use crate::wire::{Moved, Reason, Wire};
+use crate::wire::{accept, Moved, Reason, Wire};
 use async_io::{Async, Timer};
 use futures_lite::{future, StreamExt};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -25,17 +25,11 @@
 /// Answers checks until the program ends.
 pub async fn listen(context: Rc<Context>, listener: Async<TcpListener>, form: Form) {
     let open = Rc::new(());
-    let mut incoming = Box::pin(listener.incoming());
-    while let Some(next) = incoming.next().await {
-        let Ok(stream) = next else {
-            Timer::after(Duration::from_millis(5)).await;
-            continue;
-        };
-        let Ok(address) = stream.get_ref().peer_addr() else { continue };
-        let (context, open) = (context.clone(), open.clone());
-        let executor = context.clone();
-        executor.executor.spawn(check(context, stream, address, form, open)).detach();
-    }
+    let take = |stream, address| {
+        let check = check(context.clone(), stream, address, form, open.clone());
+        context.executor.spawn(check).detach();
+    };
+    accept(listener, || true, take).await;
 }
 
 /// The agent's line: whether to send here, and how much, by how full the table is and how much is refused.
--- a/crates/lichenrudder/src/context.rs
+++ b/crates/lichenrudder/src/context.rs
@@ -30,6 +30,8 @@
     pub clients: Cell<usize>,
     /// Connections to disk boxes, with those that are coming up.
     pub upstream: Cell<usize>,
+    /// Bytes of answers that their clients have not taken yet.
+    pub unsent: Cell<usize>,
     /// Whether requests can be taken on.
     pub serving: Cell<bool>,
     /// Requests in the core's table.
@@ -52,6 +54,7 @@
             stopped: async_channel::bounded(1),
             clients: Cell::new(0),
             upstream: Cell::new(0),
+            unsent: Cell::new(0),
             serving: Cell::new(false),
             open: Cell::new(0),
             refusing: Cell::new(0),
@@ -75,6 +78,11 @@
         self.config.limits.sockets.min(1024) * 2 / 5
     }
 
+    /// The bytes of answers that may wait for their clients: an eighth of the memory.
+    pub fn unsent_bound(&self) -> usize {
+        self.config.limits.memory_mb.min(192) as usize * 1024 * 1024 / 8
+    }
+
     /// Descriptors for disk boxes.
     pub fn upstream_bound(&self) -> usize {
         self.config.limits.sockets.min(1024) * 2 / 5
--- a/crates/lichenrudder/src/iscsi_front.rs
+++ b/crates/lichenrudder/src/iscsi_front.rs
@@ -2,7 +2,7 @@
 use crate::context::{Context, Count};
 use crate::module::{Mail, Ticket};
 use crate::record::{self, Key, Note};
-use crate::wire::{Moved, Reason, Wire};
+use crate::wire::{accept, Moved, Reason, Wire};
 use async_channel::Sender;
 use async_io::{Async, Timer};
 use config::{Iscsi, Lun};
@@ -22,7 +22,7 @@
 const ANSWER: usize = iscsi::LONGEST + 16 * 1024;
 const BOUNDS: (usize, usize) = (iscsi::LONGEST + 4096, 2 * ANSWER);
 /// Initiators at once.
-const SESSIONS: usize = 64;
+const SESSIONS: usize = 24;
 /// Answers that may wait for a session: those of its tasks, and late ones of reads that were aborted.
 const ANSWERS: usize = 256;
 /// After SIGTERM an idle session is closed after this time.
@@ -55,15 +55,8 @@
     let front =
         Front { context: context.clone(), iscsi, shown: Rc::new(shown), record, sessions: Names::default() };
     let front = Rc::new(front);
-    let mut incoming = Box::pin(listener.incoming());
-    while let Some(next) = incoming.next().await {
-        let Ok(stream) = next else {
-            Timer::after(Duration::from_millis(5)).await;
-            continue;
-        };
-        let Ok(address) = stream.get_ref().peer_addr() else { continue };
-        context.executor.spawn(session(front.clone(), stream, address)).detach();
-    }
+    let take = |stream, address| context.executor.spawn(session(front.clone(), stream, address)).detach();
+    accept(listener, || context.clients.get() < context.client_bound(), take).await;
 }
 
 /// A read or write that is on its way.
@@ -111,7 +104,7 @@
     let context = &front.context;
     let _count = Count::up(context, |c| &c.clients);
     let mut wire = Wire::new(stream, "initiator", address, BOUNDS);
-    if context.clients.get() > context.client_bound() || Rc::strong_count(&front) > SESSIONS + 1 {
+    if Rc::strong_count(&front) > SESSIONS + 1 {
         wire.reason = Reason::Bound;
         return;
     }
--- a/crates/lichenrudder/src/module.rs
+++ b/crates/lichenrudder/src/module.rs
@@ -40,8 +40,8 @@
 /// Runs until the program ends.
 pub async fn run(context: Rc<Context>, mail: Receiver<Mail>, watch: Sender<()>) -> Result<(), SettingsError> {
     let limits = context.config.limits;
-    // A quarter of the memory for what is held here; rings and the rest have theirs.
-    let bound = Bound { requests: REQUESTS, bytes: limits.memory_mb.min(192) as usize * 1024 * 1024 / 4 };
+    // An eighth of the memory for what is held here; rings and answers that wait have theirs.
+    let bound = Bound { requests: REQUESTS, bytes: limits.memory_mb.min(192) as usize * 1024 * 1024 / 8 };
     let mut core: Core<Ticket> = Core::new(context.config.settings.clone(), context.config.seed, bound)?;
     let mut mail = Box::pin(mail);
     let (mut second, mut before) = (context.clock.now(), Counters::default());
--- a/crates/lichenrudder/src/platform.rs
+++ b/crates/lichenrudder/src/platform.rs
@@ -1,7 +1,7 @@
 //! The platform's front: RESP2 commands of clients, turned into requests of the core and back.
 use crate::context::{Context, Count};
 use crate::module::{Mail, Ticket};
-use crate::wire::{Moved, Reason, Wire};
+use crate::wire::{accept, Moved, Reason, Wire};
 use async_io::{Async, Timer};
 use dispatch::{Answer, Bytes, Request};
 use futures_lite::{future, StreamExt};
@@ -16,21 +16,19 @@
 const PIPELINE: usize = 128;
 /// A client's time began when it sent, and its answer has a way to go: so much of it is spent on that.
 const ON_THE_WAY: i64 = 2_000;
+/// A client that is quiet for so long is closed between requests where clients are many.
+const QUIET: i64 = 60_000_000;
+/// Connections beyond the bound that are answered with a refusal; more are not accepted for the time being.
+const BEYOND: usize = 64;
 /// After SIGTERM clients go on using what is open; idle connections are closed after this time.
 const LINGER: i64 = 500_000;
 
 /// Accepts clients until the program ends.
 pub async fn listen(context: Rc<Context>, listener: Async<TcpListener>) {
-    let mut incoming = Box::pin(listener.incoming());
-    while let Some(next) = incoming.next().await {
-        let Ok(stream) = next else {
-            // Out of descriptors: what waits will be accepted a little later.
-            Timer::after(Duration::from_millis(5)).await;
-            continue;
-        };
-        let Ok(address) = stream.get_ref().peer_addr() else { continue };
-        context.executor.spawn(client(context.clone(), stream, address)).detach();
-    }
+    // Guards the descriptors of everything else.
+    let may = || context.clients.get() < context.client_bound() + BEYOND;
+    let take = |stream, address| context.executor.spawn(client(context.clone(), stream, address)).detach();
+    accept(listener, may, take).await;
 }
 
 enum Reply {
@@ -40,12 +38,44 @@
 
 struct Slot {
     id: Option<RequestId>,
-    reply: Option<Reply>,
+    reply: Option<Waiting>,
+}
+
+/// An answer that waits for its client; its bytes count against the bound while it does.
+struct Waiting {
+    reply: Reply,
+    weight: usize,
+    context: Rc<Context>,
+}
+
+impl Waiting {
+    fn new(context: &Rc<Context>, reply: Reply) -> Waiting {
+        let weight = match &reply {
+            Reply::Bytes(bytes) => bytes.len(),
+            Reply::Value(value) => value.len(),
+        };
+        // Guards the memory against clients that ask and do not read. It has run: failed, and not refused.
+        let unsent = context.unsent.get() + weight;
+        if weight > 1024 && unsent > context.unsent_bound() {
+            return Waiting::new(
+                context,
+                Reply::Bytes(b"-ERR too many answers wait for clients\r\n".to_vec()),
+            );
+        }
+        context.unsent.set(unsent);
+        Waiting { reply, weight, context: context.clone() }
+    }
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        self.context.unsent.set(self.context.unsent.get() - self.weight);
+    }
 }
 
 impl Reply {
-    fn text(text: impl Into<Vec<u8>>) -> Option<Reply> {
-        Some(Reply::Bytes(text.into()))
+    fn text(text: impl Into<Vec<u8>>) -> Reply {
+        Reply::Bytes(text.into())
     }
 
     fn bytes(&self) -> Vec<u8> {
@@ -60,9 +90,9 @@
     }
 }
 
-fn worded(answer: Answer) -> Option<Reply> {
+fn worded(answer: Answer) -> Reply {
     match answer {
-        Answer::Served(value) => Some(Reply::Value(value)),
+        Answer::Served(value) => Reply::Value(value),
         // Rounded up: a client that came back earlier than told would be refused again.
         Answer::Refused(Some(wait)) => Reply::text(format!("-BUSY {}\r\n", (wait.0.max(0) + 999) / 1000)),
         Answer::Refused(None) => Reply::text("-BUSY\r\n"),
@@ -147,6 +177,12 @@
     })
 }
 
+enum Woken {
+    Moved,
+    Tick,
+    End(Reason),
+}
+
 async fn client(context: Rc<Context>, stream: Async<TcpStream>, address: SocketAddr) {
     let _count = Count::up(&context, |c| &c.clients);
     // Guards the descriptors: beyond the bound a connection is answered, with refusals, and closed.
@@ -156,6 +192,8 @@
     let mut answered = Box::pin(answered);
     let (mut slots, mut first) = (VecDeque::<Slot>::new(), 0u64);
     let (mut closing, mut asked_since) = (None, false);
+    let wait = |reply| Some(Waiting::new(&context, reply));
+    let mut moved_at = context.clock.now();
     let reason = loop {
         let full = slots.len() >= PIPELINE;
         while closing.is_none() && slots.len() < PIPELINE {
@@ -169,14 +207,14 @@
                     asked_since |= context.stopping.get().is_some();
                     let mut slot = Slot { id: None, reply: None };
                     match asked {
-                        Asked::Now(reply) => slot.reply = Reply::text(reply),
-                        Asked::Request(_) if beyond => slot.reply = worded(Answer::Refused(None)),
+                        Asked::Now(reply) => slot.reply = wait(Reply::text(reply)),
+                        Asked::Request(_) if beyond => slot.reply = wait(worded(Answer::Refused(None))),
                         Asked::Request(request) => {
                             let id = context.number();
                             let ticket = Ticket { slot: first + slots.len() as u64, to: answers.clone() };
                             match context.module.try_send(Mail::Take(id, request, ticket)) {
                                 Ok(()) => slot.id = Some(id),
-                                Err(_) => slot.reply = worded(Answer::Refused(None)),
+                                Err(_) => slot.reply = wait(worded(Answer::Refused(None))),
                             }
                         }
                     }
@@ -189,19 +227,19 @@
                 Ok(None) => {
                     slots.push_back(Slot {
                         id: None,
-                        reply: Reply::text("-ERR Protocol error: too long\r\n"),
+                        reply: wait(Reply::text("-ERR Protocol error: too long\r\n")),
                     });
                     closing = Some(Reason::Protocol);
                 }
                 Err(e) => {
                     let text = format!("-ERR Protocol error: {}\r\n", e.0);
-                    slots.push_back(Slot { id: None, reply: Reply::text(text) });
+                    slots.push_back(Slot { id: None, reply: wait(Reply::text(text)) });
                     closing = Some(Reason::Protocol);
                 }
             }
         }
         while let Some(reply) = slots.front().and_then(|s| s.reply.as_ref()) {
-            if !wire.output.push(&reply.bytes()) {
+            if !wire.output.push(&reply.reply.bytes()) {
                 break;
             }
             slots.pop_front();
@@ -220,29 +258,43 @@
                 break Reason::Stopped;
             }
         }
+        // Guards newcomers: where connections are scarce, those that stand about make room, though not while
+        // anything is owed to them.
+        let many = context.clients.get() > context.client_bound() * 3 / 4;
+        if many && slots.iter().all(|s| s.reply.is_some()) && context.clock.now().0 - moved_at.0 > QUIET {
+            break Reason::Idle;
+        }
         let answer = async { answered.next().await.map(|(slot, answer)| (slot, worded(answer))) };
         let moved = async {
             Err(match wire.next().await {
-                Some(Ok(Moved::End)) => Some(Reason::PeerClosed),
-                Some(Err(_)) => Some(Reason::Reset),
-                _ => None,
+                Some(Ok(Moved::End)) => Woken::End(Reason::PeerClosed),
+                Some(Err(_)) => Woken::End(Reason::Reset),
+                _ => Woken::Moved,
             })
         };
         let stop = async {
-            match stopping {
-                None => drop(context.stopped.1.recv().await),
-                Some(_) => drop(Timer::after(Duration::from_millis(50)).await),
-            }
-            Err(None)
+            let told = async {
+                match stopping {
+                    None => drop(context.stopped.1.recv().await),
+                    Some(_) => future::pending().await,
+                }
+            };
+            let pause = if stopping.is_some() { 50 } else { 20_000 };
+            let tick = async {
+                Timer::after(Duration::from_millis(pause)).await;
+            };
+            future::or(told, tick).await;
+            Err(Woken::Tick)
         };
         match future::or(future::or(async { Ok(answer.await) }, moved), stop).await {
             Ok(Some((slot, reply))) => {
                 if let Some(slot) = slots.get_mut((slot - first) as usize) {
-                    slot.reply = reply;
+                    slot.reply = wait(reply);
                 }
             }
-            Ok(None) | Err(None) => {}
-            Err(Some(reason)) => break reason,
+            Ok(None) | Err(Woken::Tick) => {}
+            Err(Woken::Moved) => moved_at = context.clock.now(),
+            Err(Woken::End(reason)) => break reason,
         }
     };
     wire.reason = reason;
--- a/crates/lichenrudder/src/wire.rs
+++ b/crates/lichenrudder/src/wire.rs
@@ -1,12 +1,16 @@
 //! A connection: a stream of what happens on it, with one ring buffer a direction.
-use async_io::Async;
-use futures_lite::{AsyncRead, AsyncWrite, Stream};
+use async_io::{Async, Timer};
+use futures_lite::{AsyncRead, AsyncWrite, Stream, StreamExt};
 use ring::Ring;
 use std::fmt;
 use std::io;
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::pin::Pin;
 use std::task::{Context, Poll};
+use std::time::Duration;
+
+/// How long accepting waits where it can't go on.
+const PAUSE: Duration = Duration::from_millis(5);
 
 /// What has happened.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -105,6 +109,32 @@
     }
 }
 
+/// Accepts connections until the program ends, each time after `may` allows one more.
+pub async fn accept(
+    listener: Async<TcpListener>,
+    may: impl Fn() -> bool,
+    mut take: impl FnMut(Async<TcpStream>, SocketAddr),
+) {
+    let mut incoming = Box::pin(listener.incoming());
+    loop {
+        while !may() {
+            Timer::after(PAUSE).await;
+        }
+        match incoming.next().await {
+            Some(Ok(stream)) => {
+                if let Ok(address) = stream.get_ref().peer_addr() {
+                    take(stream, address);
+                }
+            }
+            // Out of descriptors: what waits will be accepted a little later.
+            Some(Err(_)) => {
+                Timer::after(PAUSE).await;
+            }
+            None => return,
+        }
+    }
+}
+
 impl Drop for Wire {
     fn drop(&mut self) {
         eprintln!(
--- /dev/null
+++ b/crates/lichenrudder/tests/bounds.rs
@@ -0,0 +1,107 @@
+//! What can grow has a bound, and beyond it the program refuses and goes on.
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+mod common;
+use common::{address, config, Program};
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::time::Duration;
+
+fn read(n: u64) -> Vec<u8> {
+    let list = "c=stock-read,t=premium,d=1200,volume=00000003b4d60021,units=1,shard=0,hosts=1";
+    let mut out = vec![];
+    resp::write_command(&mut out, &[b"PREAD", format!("{n:016x}").as_bytes(), b"1", list.as_bytes()]);
+    out
+}
+
+fn line(stream: &mut TcpStream) -> String {
+    let (mut text, mut byte) = (String::new(), [0]);
+    while !text.ends_with('\n') && stream.read(&mut byte).unwrap() == 1 {
+        text.push(byte[0] as char);
+    }
+    text
+}
+
+#[test]
+fn connections_beyond_the_bound_are_refused_and_closed() {
+    let ip = address();
+    let program = Program::start(&config(&ip).replace("seed =", "limits = { sockets = 64 }\nseed ="), &ip);
+    let mut clients: Vec<TcpStream> = (0..25).map(|_| program.connect(6379)).collect();
+    for client in &mut clients {
+        client.write_all(b"*1\r\n$4\r\nPING\r\n").unwrap();
+        assert_eq!(line(client), "+PONG\r\n");
+    }
+    let mut beyond = program.connect(6379);
+    beyond.write_all(&read(1)).unwrap();
+    assert_eq!(line(&mut beyond), "-BUSY\r\n");
+    assert_eq!(beyond.read(&mut [0; 8]).unwrap(), 0, "and it ends");
+    clients.pop();
+    std::thread::sleep(Duration::from_millis(50));
+    let mut within = program.connect(6379);
+    within.write_all(b"*1\r\n$4\r\nPING\r\n").unwrap();
+    assert_eq!(line(&mut within), "+PONG\r\n");
+}
+
+/// A box that gives the longest value for whatever it is asked.
+fn generous(listener: TcpListener) {
+    for stream in listener.incoming() {
+        let mut stream = stream.unwrap();
+        std::thread::spawn(move || {
+            let (mut seen, mut chunk) = (vec![], [0; 4096]);
+            let mut reply = b"*3\r\n".to_vec();
+            resp::write_bulk(&mut reply, &vec![b'x'; resp::LONGEST]);
+            reply.extend_from_slice(b"$-1\r\n$-1\r\n");
+            while let Ok(count @ 1..) = stream.read(&mut chunk) {
+                seen.extend_from_slice(&chunk[..count]);
+                while let Ok(Some((_, used))) = resp::command(&seen) {
+                    seen.drain(..used);
+                    if stream.write_all(&reply).is_err() {
+                        return;
+                    }
+                }
+            }
+        });
+    }
+}
+
+#[test]
+fn clients_that_ask_and_do_not_read_cost_bounded_memory() {
+    let ip = address();
+    let listener = TcpListener::bind((ip.as_str(), 6390)).unwrap();
+    std::thread::spawn(move || generous(listener));
+    let text = config(&ip).replace("seed =", "limits = { memory_mb = 64 }\nseed =");
+    let program = Program::start(&text.replace("Guaranteed = 500.0", "Guaranteed = 5000.0"), &ip);
+    let mut clients: Vec<TcpStream> = (0..12).map(|_| program.connect(6379)).collect();
+    for round in 0..30 {
+        for (n, client) in clients.iter_mut().enumerate() {
+            let asks: Vec<u8> = (0..4).flat_map(|i| read((n as u64) << 16 | round << 8 | i)).collect();
+            client.write_all(&asks).unwrap();
+        }
+        std::thread::sleep(Duration::from_millis(40));
+    }
+    let status = std::fs::read_to_string(format!("/proc/{}/status", program.child.id())).unwrap();
+    let peak = status.lines().find_map(|l| l.strip_prefix("VmHWM:")).unwrap();
+    let peak: u64 = peak.trim().trim_end_matches(" kB").parse().unwrap();
+    println!("peak {peak} kB");
+    assert!(peak < 64 * 1024, "{peak} kB");
+    let mut other = program.connect(6379);
+    other.write_all(b"*1\r\n$4\r\nPING\r\n").unwrap();
+    assert_eq!(line(&mut other), "+PONG\r\n");
+    // Each command has its answer, in order, whatever it is: served, refused, or failed.
+    let mut kinds = [0; 3];
+    for client in &mut clients {
+        for _ in 0..120 {
+            let head = line(client);
+            match head.as_bytes()[0] {
+                b'$' => {
+                    client.read_exact(&mut vec![0; resp::LONGEST + 2]).unwrap();
+                    kinds[0] += 1;
+                }
+                b'-' if head.starts_with("-BUSY") => kinds[1] += 1,
+                b'-' => kinds[2] += 1,
+                _ => panic!("{head}"),
+            }
+        }
+    }
+    println!("served, refused, dropped: {kinds:?}");
+    assert!(kinds[0] > 100 && kinds[2] > 0, "{kinds:?}");
+}
--- a/crates/lichenrudder/tests/configuration.rs
+++ b/crates/lichenrudder/tests/configuration.rs
@@ -24,13 +24,15 @@
 #[case("DeadlineS = 1.2", "", "DeadlineS")]
 #[case("MostUnits = 6.0", "MostUnits = 0.0", "most_units")]
 #[case("Idempotency = \"idempotent\"", "Idempotency = \"maybe\"", "Idempotency")]
+#[case("[[known.instances]]", "[[known.unused]]", "known.instances")]
 #[case("[settings]", "[settings", "settings")]
 fn a_fault_names_its_key(#[case] from: &str, #[case] to: &str, #[case] key: &str) {
     let ip = address();
     let from = from.replace('@', &format!("{ip}:6379"));
     let good = config(&ip);
     assert!(good.contains(&from));
-    let bad = good.replacen(&from, to, 1);
+    let all = if from.starts_with("[[") { usize::MAX } else { 1 };
+    let bad = good.replacen(&from, to, all);
     let mut program = spawn(&bad, &ip, Stdio::piped());
     assert_eq!(program.exit(), 1);
     let mut words = String::new();
