Log without panics, end every connection with its line, time a watch's silence by its last byte

Seen on reading: eprintln! ends the program when the reader of its log has gone (now log.rs; test a_log_without_a_reader_does_not_end_the_program), and the test counters_and_reasons found that idle connections to boxes ended without a line at the program's end (now PeerMail::Stop, and the list's mailbox is closed).

--- a/crates/lichenrudder/src/list.rs
+++ b/crates/lichenrudder/src/list.rs
@@ -10,8 +10,9 @@
 use oxbowhill::interface::ListNews;
 use std::cell::Cell;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Heartbeats come every 2 s; a watch that is silent for longer has broken. What discovery tells counts as told
 /// after 6 s, whether it arrived or not: there must be time left to ask anew, and to wait in discovery's turn.
@@ -22,30 +23,27 @@
 const LINE: usize = 1024 * 1024;
 const BOUNDS: (usize, usize) = (64 * 1024, 4096);
 
-/// Runs until the program ends: each letter asks for the watch anew.
+/// Runs until the program ends, which closes the mailbox: each letter asks for the watch anew.
 pub async fn run(context: Rc<Context>, asked: Receiver<()>, discovery: SocketAddr) {
     let mut asked = Box::pin(asked);
     let version = Cell::new(context.config.known.generation);
-    let mut next = asked.next().await;
-    while next.is_some() {
-        let answered = Cell::new(false);
-        let mut watching = Box::pin(async {
-            watch(&context, discovery, &version, &answered).await;
-            let _ = context.module.send(Mail::News(ListNews::Failed)).await;
-            None
-        });
-        next = loop {
-            match future::or(async { Some(asked.next().await) }, &mut watching).await {
-                // Guards discovery, which takes calls in turn: one that still waits for its answer is not given
-                // up for another, which would have to wait behind it.
-                Some(Some(())) if !answered.get() => {}
-                Some(again) => break again,
-                None => break asked.next().await,
+    while asked.next().await.is_some() {
+        loop {
+            match watch(&context, discovery, &version, &mut asked).await {
+                Reason::Replaced => {}
+                Reason::Stopped => return,
+                _ => break,
             }
-        };
+        }
+        let _ = context.module.send(Mail::News(ListNews::Failed)).await;
     }
 }
 
+enum Woken {
+    Asked(Option<()>),
+    Moved(Option<std::io::Result<Moved>>),
+}
+
 async fn within<T>(time: Duration, work: impl std::future::Future<Output = Option<T>>) -> Option<T> {
     future::or(work, async {
         Timer::after(time).await;
@@ -55,26 +53,45 @@
 }
 
 /// Follows one watch until it ends; what it told counts.
-async fn watch(context: &Rc<Context>, discovery: SocketAddr, version: &Cell<i64>, answered: &Cell<bool>) {
+async fn watch(
+    context: &Rc<Context>,
+    discovery: SocketAddr,
+    version: &Cell<i64>,
+    asked: &mut Pin<Box<Receiver<()>>>,
+) -> Reason {
     let up = within(CONNECT, async { Wire::connect("discovery", discovery, BOUNDS).await.ok() }).await;
     let Some(mut wire) = up else {
-        eprintln!("conn kind=discovery peer={discovery} carried=0 reason={}", Reason::ConnectFailed);
-        return;
+        crate::log::line(format_args!(
+            "conn kind=discovery peer={discovery} carried=0 reason={}",
+            Reason::ConnectFailed
+        ));
+        return Reason::ConnectFailed;
     };
-    wire.reason = Reason::Replaced;
     let ask = format!(
         "GET /api/targets?watch=1&from={} HTTP/1.1\r\nHost: {discovery}\r\nAccept: application/json\r\n\r\n",
         version.get()
     );
     wire.output.push(ask.as_bytes());
+    let mut heard = Instant::now();
     let (mut length, mut chunks, mut body) = (None, Chunks::default(), Vec::new());
     wire.reason = loop {
-        match within(SILENCE, wire.next()).await {
-            Some(Ok(Moved::Wrote)) => continue,
-            Some(Ok(Moved::Read)) => {}
-            Some(Ok(Moved::End)) => break Reason::PeerClosed,
-            Some(Err(_)) => break Reason::Reset,
-            None => break Reason::Timeout,
+        let again = async { Woken::Asked(asked.next().await) };
+        let moved = async { Woken::Moved(wire.next().await) };
+        let silent = async {
+            Timer::at(heard + SILENCE).await;
+            Woken::Moved(None)
+        };
+        match future::or(future::or(again, moved), silent).await {
+            // Guards discovery, which takes calls in turn: one that still waits for its answer is not given up
+            // for another, which would have to wait behind it.
+            Woken::Asked(Some(())) if length.is_none() => continue,
+            Woken::Asked(Some(())) => break Reason::Replaced,
+            Woken::Asked(None) => break Reason::Stopped,
+            Woken::Moved(Some(Ok(Moved::Wrote))) => continue,
+            Woken::Moved(Some(Ok(Moved::Read))) => heard = Instant::now(),
+            Woken::Moved(Some(Ok(Moved::End))) => break Reason::PeerClosed,
+            Woken::Moved(Some(Err(_))) => break Reason::Reset,
+            Woken::Moved(None) => break Reason::Timeout,
         }
         if length.is_none() {
             match http::answer_head(wire.input.contiguous()) {
@@ -82,7 +99,6 @@
                 Ok(Some((200, form, used))) => {
                     wire.input.consume(used);
                     length = Some(form);
-                    answered.set(true);
                 }
                 Ok(Some(_)) => break Reason::PeerClosed,
                 Err(_) => break Reason::Protocol,
@@ -118,7 +134,7 @@
                     context.serving.set(true);
                 }
                 Err(e) => {
-                    eprintln!("list error={e}");
+                    crate::log::line(format_args!("list error={e}"));
                     faulty = true;
                 }
             }
@@ -131,4 +147,5 @@
             break Reason::Done;
         }
     };
+    wire.reason
 }
--- a/crates/lichenrudder/src/main.rs
+++ b/crates/lichenrudder/src/main.rs
@@ -5,6 +5,7 @@
 mod context;
 mod iscsi_front;
 mod list;
+mod log;
 mod module;
 mod peer;
 mod platform;
@@ -14,8 +15,9 @@
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
 use context::Context;
-use futures_lite::{future, StreamExt};
+use futures_lite::StreamExt;
 use module::Mail;
+use std::io::Write;
 use std::net::{SocketAddr, TcpListener};
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -32,7 +34,7 @@
     let outcome = match words.as_slice() {
         [] => start(),
         ["config", "write", app] => {
-            config::application(app).map(|text| print!("{text}")).map_err(|e| e.to_string())
+            config::application(app).map(|text| say(&text)).map_err(|e| e.to_string())
         }
         ["config", "check", file] => check(file),
         _ => {
@@ -42,21 +44,26 @@
     match outcome {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
-            eprintln!("lichenrudder: {e}");
+            crate::log::line(format_args!("lichenrudder: {e}"));
             ExitCode::FAILURE
         }
     }
 }
 
+/// Writes to standard output; a reader that has gone is no fault.
+fn say(text: &str) {
+    let _ = std::io::stdout().write_all(text.as_bytes());
+}
+
 fn check(file: &str) -> Result<(), String> {
     let text = std::fs::read_to_string(file).map_err(|e| format!("{file}: {e}"))?;
     let config = config::read(file, &text).map_err(|e| format!("{file}: {e}"))?;
-    println!(
-        "{file}: good; {} classes, {} plans, {} disk boxes",
+    say(&format!(
+        "{file}: good; {} classes, {} plans, {} disk boxes\n",
         config.classes.len(),
         config.plans.len(),
         config.known.targets.len()
-    );
+    ));
     Ok(())
 }
 
@@ -76,6 +83,7 @@
     let listener = config.listen.map(|a| bind("GW_LISTEN", a)).transpose()?;
     let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Usr1]).map_err(|e| e.to_string())?;
     let (ask, asked) = async_channel::bounded(4);
+    let watch = ask.clone();
     peer::update(&context, &config.known.targets, true);
     let known = config.known.news();
     if let oxbowhill::interface::ListNews::Full(entries) = known {
@@ -87,7 +95,7 @@
         context.executor.spawn(list::run(context.clone(), asked, discovery)).detach();
     }
     context.serving.set(!config.known.targets.is_empty());
-    eprintln!("start name={} listen={:?}", config.name, config.listen);
+    crate::log::line(format_args!("start name={} listen={:?}", config.name, config.listen));
     if let Some(listener) = listener {
         context.executor.spawn(platform::listen(context.clone(), listener)).detach();
     }
@@ -110,7 +118,7 @@
         }
     }
     let since = context.clock.now();
-    eprintln!("stop open={} clients={}", context.open.get(), context.clients.get());
+    crate::log::line(format_args!("stop open={} clients={}", context.open.get(), context.clients.get()));
     context.stopping.set(Some(since));
     context.stopped.0.close();
     loop {
@@ -122,8 +130,12 @@
         }
     }
     let _ = context.module.send(Mail::Print).await;
-    future::yield_now().await;
+    // What is still open ends now, each with its line.
+    watch.close();
+    for peer in context.peers.borrow().values() {
+        let _ = peer.mail.try_send(peer::PeerMail::Stop);
+    }
     Timer::after(Duration::from_millis(5)).await;
-    eprintln!("end");
+    crate::log::line(format_args!("end"));
     Ok(())
 }
--- a/crates/lichenrudder/src/module.rs
+++ b/crates/lichenrudder/src/module.rs
@@ -67,7 +67,9 @@
                 Mail::Left(id) => core.left(now, id),
                 Mail::Ended(ended) => core.ended(now, ended),
                 Mail::News(news) => core.news(now, news),
-                Mail::Print => eprintln!("counters {} open={}", core.counters, core.open()),
+                Mail::Print => {
+                    crate::log::line(format_args!("counters {} open={}", core.counters, core.open()))
+                }
             }
             carry_out(&context, &mut core, &watch);
             next = mail.try_recv().ok().map(Some);
--- a/crates/lichenrudder/src/peer.rs
+++ b/crates/lichenrudder/src/peer.rs
@@ -55,6 +55,8 @@
     Free(Box<Connection>),
     /// The list has changed.
     Changed,
+    /// The program ends.
+    Stop,
 }
 
 /// A connection to the disk box that counts against the bound while it lives.
@@ -145,6 +147,10 @@
                     idle.push(*connection);
                 }
             }
+            Some(PeerMail::Stop) => {
+                idle.iter_mut().for_each(|c| c.wire.reason = Reason::Stopped);
+                return;
+            }
             Some(PeerMail::Changed) => {
                 let now = context.clock.now();
                 for c in idle.iter_mut() {
@@ -219,7 +225,10 @@
     match future::or(up, late).await {
         Some(wire) => Ok(Connection { wire, session: None, _count: count, since: context.clock.now(), life }),
         None => {
-            eprintln!("conn kind=box peer={address} carried=0 reason={}", Reason::ConnectFailed);
+            crate::log::line(format_args!(
+                "conn kind=box peer={address} carried=0 reason={}",
+                Reason::ConnectFailed
+            ));
             Err(Ending::ConnectFailed)
         }
     }
--- a/crates/lichenrudder/src/wire.rs
+++ b/crates/lichenrudder/src/wire.rs
@@ -137,10 +137,10 @@
 
 impl Drop for Wire {
     fn drop(&mut self) {
-        eprintln!(
+        crate::log::line(format_args!(
             "conn kind={} peer={} carried={} reason={}",
             self.kind, self.address, self.carried, self.reason
-        );
+        ));
     }
 }
 
