--- a/crates/lichenrudder/src/list.rs
+++ b/crates/lichenrudder/src/list.rs
@@ -73,6 +73,8 @@
     );
     wire.output.push(ask.as_bytes());
     let mut heard = Instant::now();
+    // Whether the module has heard that the watch is up: it asks until it has.
+    let mut told = false;
     let (mut length, mut chunks, mut body) = (None, Chunks::default(), Vec::new());
     wire.reason = loop {
         let again = async { Woken::Asked(asked.next().await) };
@@ -84,7 +86,7 @@
         match future::or(future::or(again, moved), silent).await {
             // Guards discovery, which takes calls in turn: one that still waits for its answer is not given up
             // for another, which would have to wait behind it.
-            Woken::Asked(Some(())) if length.is_none() => continue,
+            Woken::Asked(Some(())) if !told => continue,
             Woken::Asked(Some(())) => break Reason::Replaced,
             Woken::Asked(None) => break Reason::Stopped,
             Woken::Moved(Some(Ok(Moved::Wrote))) => continue,
@@ -122,15 +124,20 @@
             let line = &body[start..start + end];
             start += end + 1;
             if line.iter().all(u8::is_ascii_whitespace) {
+                // Guards discovery: a watch with nothing to tell is up all the same, and not to be asked for again.
+                if !std::mem::replace(&mut told, true) {
+                    let _ = context.module.send(Mail::News(ListNews::Delta(vec![]))).await;
+                }
                 continue;
             }
             match config::targets(line, &context.config.zones) {
-                Ok(told) => {
+                Ok(news) => {
                     wire.carried += 1;
-                    version.set(told.generation);
+                    told = true;
+                    version.set(news.generation);
                     // Peers first: what the module has started and they have not must know of a drain.
-                    peer::update(context, &told.targets, told.whole);
-                    let _ = context.module.send(Mail::News(told.news())).await;
+                    peer::update(context, &news.targets, news.whole);
+                    let _ = context.module.send(Mail::News(news.news())).await;
                     context.serving.set(true);
                 }
                 Err(e) => {
