Split the two fronts' connections into what faces the core and what faces the wire

Seen on the way: a status number of 2^32 - 1 would have overflowed in a debug build (iscsi_front.rs, Acknowledged), and a read whose LUN were not in the file would have had no answer; both are closed.

--- a/crates/lichenrudder/src/iscsi_front.rs
+++ b/crates/lichenrudder/src/iscsi_front.rs
@@ -3,7 +3,7 @@
 use crate::module::{Mail, Ticket};
 use crate::record::{self, Key, Note};
 use crate::wire::{accept, Moved, Reason, Wire};
-use async_channel::Sender;
+use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
 use config::{Iscsi, Lun};
 use dispatch::{Answer, Bytes, Extent, Request};
@@ -30,8 +30,11 @@
 /// A login must be through in this time.
 const LOGIN: i64 = 10_000_000;
 
-/// By initiator and ISID: a number of its own for each session, and what is closed when another replaces it.
-type Names = RefCell<BTreeMap<(Rc<str>, [u8; 6]), (u64, Sender<()>)>>;
+/// Initiator and ISID.
+type Name = (Rc<str>, [u8; 6]);
+
+/// A number of its own for each session, and what is closed when another replaces it.
+type Names = RefCell<BTreeMap<Name, (u64, Sender<()>)>>;
 
 struct Front {
     context: Rc<Context>,
@@ -62,6 +65,7 @@
 /// A read or write that is on its way.
 struct Work {
     tag: u32,
+    write: bool,
     read: Option<RequestId>,
     key: Option<Key>,
 }
@@ -100,152 +104,229 @@
     }
 }
 
-async fn session(front: Rc<Front>, stream: Async<TcpStream>, address: SocketAddr) {
-    let context = &front.context;
-    let _count = Count::up(context, |c| &c.clients);
-    let mut wire = Wire::new(stream, "initiator", address, BOUNDS);
-    if Rc::strong_count(&front) > SESSIONS + 1 {
-        wire.reason = Reason::Bound;
-        return;
+/// A session's side toward the core, without its connection.
+struct Session {
+    front: Rc<Front>,
+    target: Target,
+    /// A number of its own among the sessions of one name.
+    own: u64,
+    name: Option<Name>,
+    /// Closed once another session takes its place.
+    replaced: (Sender<()>, Receiver<()>),
+    answers: Sender<(u64, Answer)>,
+    works: BTreeMap<u64, Work>,
+    next: u64,
+    ready: VecDeque<(u64, Answer)>,
+    unacknowledged: VecDeque<(u32, Key)>,
+    closing: Option<Reason>,
+}
+
+impl Session {
+    fn new(front: Rc<Front>, answers: Sender<(u64, Answer)>) -> Session {
+        Session {
+            target: Target::new(front.shown.clone(), front.context.session()),
+            own: front.context.number().0,
+            name: None,
+            replaced: async_channel::bounded(1),
+            answers,
+            works: BTreeMap::new(),
+            next: 0,
+            ready: VecDeque::new(),
+            unacknowledged: VecDeque::new(),
+            closing: None,
+            front,
+        }
     }
-    let mut target = Target::new(front.shown.clone(), context.session());
-    let (answers, answered) = async_channel::bounded::<(u64, Answer)>(ANSWERS);
-    let (replaced, ended) = async_channel::bounded::<()>(1);
-    let own = context.number().0;
-    let (mut name, mut replaced) = (None::<(Rc<str>, [u8; 6])>, Some(replaced));
-    let mut answered = Box::pin(answered);
-    let (mut works, mut next) = (BTreeMap::<u64, Work>::new(), 0u64);
-    let mut ready = VecDeque::<(u64, Answer)>::new();
-    let mut unacknowledged = VecDeque::<(u32, Key)>::new();
-    let (mut out, mut events) = (Vec::new(), Vec::new());
-    let mut closing = None;
-    let begun = context.clock.now();
-    let reason = loop {
+
+    /// Answers what is ready, as far as there is room.
+    fn answer(&mut self, wire: &mut Wire) {
+        let mut out = Vec::new();
         while wire.output.room() >= ANSWER {
-            let Some((slot, answer)) = ready.pop_front() else { break };
-            let Some(work) = works.remove(&slot) else { continue };
-            let status = target.answer(work.tag, outcome(&answer, work.key.is_some()), &mut out);
+            let Some((slot, answer)) = self.ready.pop_front() else { break };
+            let Some(work) = self.works.remove(&slot) else { continue };
+            let status = self.target.answer(work.tag, outcome(&answer, work.write), &mut out);
             if let (Some(status), Some(key)) = (status, work.key) {
-                unacknowledged.push_back((status, key));
+                self.unacknowledged.push_back((status, key));
             }
             wire.output.push(&out);
             out.clear();
         }
-        while closing.is_none() && wire.output.room() >= ANSWER {
+    }
+
+    /// Takes in the PDUs that have come, as far as there is room for what they may have us say.
+    async fn read(&mut self, wire: &mut Wire) {
+        let (mut out, mut events) = (Vec::new(), Vec::new());
+        while self.closing.is_none() && wire.output.room() >= ANSWER {
             let full = wire.input.room() == 0;
-            match target.read(wire.input.contiguous(), &mut out, &mut events) {
-                Ok(0) if full => closing = Some(Reason::Protocol),
+            match self.target.read(wire.input.contiguous(), &mut out, &mut events) {
+                Ok(0) if full => self.closing = Some(Reason::Protocol),
                 Ok(0) => break,
                 Ok(used) => {
                     wire.input.consume(used);
                     wire.carried += 1;
                 }
-                Err(_) => closing = Some(Reason::Protocol),
+                Err(_) => self.closing = Some(Reason::Protocol),
             }
             for event in events.drain(..) {
-                match event {
-                    Event::LoggedIn { initiator, isid } => {
-                        // A login under the name of a session that is there takes its place.
-                        let key: (Rc<str>, _) = (initiator.into(), isid);
-                        if let Some(replaced) = replaced.take() {
-                            let old = front.sessions.borrow_mut().insert(key.clone(), (own, replaced));
-                            if let Some((_, old)) = old {
-                                old.close();
-                            }
-                        }
-                        name = Some(key);
-                    }
-                    Event::Read { tag, lun, lba, blocks } => {
-                        let Some(request) = request(&front, lun, lba, blocks, None) else { continue };
-                        let (id, slot) = (context.number(), next);
-                        next += 1;
-                        works.insert(slot, Work { tag, read: Some(id), key: None });
-                        let ticket = Ticket { slot, to: answers.clone() };
-                        if context.module.try_send(Mail::Take(id, request, ticket)).is_err() {
-                            ready.push_back((slot, Answer::Refused(None)));
-                        }
-                    }
-                    Event::Write { tag, lun, lba, data } => {
-                        let Some((initiator, isid)) = name.clone() else { continue };
-                        let mut digest = DefaultHasher::new();
-                        (lun, lba, &data).hash(&mut digest);
-                        let key = (initiator, isid, tag, digest.finish());
-                        let blocks = (data.len() / iscsi::BLOCK) as u32;
-                        let body = Some(Bytes::from(data));
-                        let Some(request) = request(&front, lun, lba, blocks, body) else { continue };
-                        let slot = next;
-                        next += 1;
-                        works.insert(slot, Work { tag, read: None, key: Some(key.clone()) });
-                        let ticket = Ticket { slot, to: answers.clone() };
-                        if front.record.try_send(Note::Begin(key, request, ticket)).is_err() {
-                            ready.push_back((slot, Answer::Refused(None)));
-                        }
-                    }
-                    Event::Aborted(tag) => {
-                        let slot = works.iter().find(|(_, w)| w.tag == tag).map(|(s, _)| *s);
-                        if let Some(id) = slot.and_then(|s| works.remove(&s)).and_then(|w| w.read) {
-                            let _ = context.module.send(Mail::Left(id)).await;
-                        }
-                    }
-                    Event::Acknowledged(upto) => {
-                        // Numbers wrap round: a half of them counts as before.
-                        while unacknowledged.front().is_some_and(|(n, _)| upto.wrapping_sub(*n + 1) < 1 << 31)
-                        {
-                            let Some((_, key)) = unacknowledged.pop_front() else { break };
-                            let _ = front.record.send(Note::Acknowledged(key)).await;
-                        }
-                    }
-                    Event::Close => closing = Some(Reason::Done),
-                }
+                self.act(event).await;
             }
             wire.output.push(&out);
             out.clear();
         }
-        let now = context.clock.now();
-        let quiet = wire.output.is_empty() && ready.is_empty();
-        match (closing, context.stopping.get()) {
-            (Some(reason), _) if wire.output.is_empty() => break reason,
-            (None, Some(at)) if quiet && !target.busy() && now.0 >= at.0 + LINGER => break Reason::Stopped,
-            _ => {}
+    }
+
+    async fn act(&mut self, event: Event) {
+        match event {
+            Event::LoggedIn { initiator, isid } => {
+                // A login under the name of a session that is there takes its place.
+                let name: Name = (initiator.into(), isid);
+                let entry = (self.own, self.replaced.0.clone());
+                if let Some((_, old)) = self.front.sessions.borrow_mut().insert(name.clone(), entry) {
+                    old.close();
+                }
+                self.name = Some(name);
+            }
+            Event::Read { tag, lun, lba, blocks } => {
+                let id = self.front.context.number();
+                let ticket = self.begin(Work { tag, write: false, read: Some(id), key: None });
+                let request = request(&self.front, lun, lba, blocks, None);
+                self.hand_over(ticket, request, |front, request, ticket| {
+                    front.context.module.try_send(Mail::Take(id, request, ticket)).is_ok()
+                });
+            }
+            Event::Write { tag, lun, lba, data } => {
+                let (initiator, isid) = self.name.clone().unwrap_or_default();
+                let mut digest = DefaultHasher::new();
+                (lun, lba, &data).hash(&mut digest);
+                let key = (initiator, isid, tag, digest.finish());
+                let ticket = self.begin(Work { tag, write: true, read: None, key: Some(key.clone()) });
+                let blocks = (data.len() / iscsi::BLOCK) as u32;
+                let request = request(&self.front, lun, lba, blocks, Some(Bytes::from(data)));
+                self.hand_over(ticket, request, |front, request, ticket| {
+                    front.record.try_send(Note::Begin(key, request, ticket)).is_ok()
+                });
+            }
+            Event::Aborted(tag) => {
+                let slot = self.works.iter().find(|(_, w)| w.tag == tag).map(|(s, _)| *s);
+                if let Some(id) = slot.and_then(|s| self.works.remove(&s)).and_then(|w| w.read) {
+                    let _ = self.front.context.module.send(Mail::Left(id)).await;
+                }
+            }
+            Event::Acknowledged(upto) => {
+                // Numbers wrap round: a half of them counts as before.
+                let before = |n: u32| upto.wrapping_sub(n).wrapping_sub(1) < 1 << 31;
+                while self.unacknowledged.front().is_some_and(|(n, _)| before(*n)) {
+                    let Some((_, key)) = self.unacknowledged.pop_front() else { break };
+                    let _ = self.front.record.send(Note::Acknowledged(key)).await;
+                }
+            }
+            Event::Close => self.closing = Some(Reason::Done),
         }
-        if name.is_none() && now.0 - begun.0 >= LOGIN {
-            break Reason::Idle;
+    }
+
+    fn begin(&mut self, work: Work) -> Ticket {
+        let slot = self.next;
+        self.next += 1;
+        self.works.insert(slot, work);
+        Ticket { slot, to: self.answers.clone() }
+    }
+
+    /// Hands a request over; where that can't be done it did not run, and has its answer at once.
+    fn hand_over(
+        &mut self,
+        ticket: Ticket,
+        request: Option<Request>,
+        over: impl FnOnce(&Front, Request, Ticket) -> bool,
+    ) {
+        let slot = ticket.slot;
+        let answer = match request {
+            None => Answer::Failed("not in the configuration"),
+            Some(request) => {
+                if over(&self.front, request, ticket) {
+                    return;
+                }
+                Answer::Refused(None)
+            }
+        };
+        self.ready.push_back((slot, answer));
+    }
+
+    /// Whether the session is to end now, and why.
+    fn ends(&self, wire: &Wire, begun: Micros) -> Option<Reason> {
+        let context = &self.front.context;
+        let (now, written) = (context.clock.now(), wire.output.is_empty());
+        let lingered = context.stopping.get().is_some_and(|at| now.0 >= at.0 + LINGER);
+        if written && self.closing.is_some() {
+            return self.closing;
         }
-        let answer = async { Ok(answered.next().await) };
+        if written && self.ready.is_empty() && !self.target.busy() && lingered {
+            return Some(Reason::Stopped);
+        }
+        (self.name.is_none() && now.0 - begun.0 >= LOGIN).then_some(Reason::Idle)
+    }
+
+    async fn end(self) {
+        if let Some(name) = &self.name {
+            let mut sessions = self.front.sessions.borrow_mut();
+            if sessions.get(name).is_some_and(|s| s.0 == self.own) {
+                sessions.remove(name);
+            }
+        }
+        // Reads nobody waits for any more; a write goes on, and its result is on the record.
+        for id in self.works.values().filter_map(|w| w.read) {
+            let _ = self.front.context.module.send(Mail::Left(id)).await;
+        }
+    }
+}
+
+enum Woken {
+    Answer(Option<(u64, Answer)>),
+    Moved,
+    Tick,
+    End(Reason),
+}
+
+async fn session(front: Rc<Front>, stream: Async<TcpStream>, address: SocketAddr) {
+    let context = front.context.clone();
+    let _count = Count::up(&context, |c| &c.clients);
+    let mut wire = Wire::new(stream, "initiator", address, BOUNDS);
+    if Rc::strong_count(&front) > SESSIONS + 1 {
+        wire.reason = Reason::Bound;
+        return;
+    }
+    let (answers, answered) = async_channel::bounded(ANSWERS);
+    let mut answered = Box::pin(answered);
+    let mut session = Session::new(front, answers);
+    let replaced = session.replaced.1.clone();
+    let begun = context.clock.now();
+    wire.reason = loop {
+        session.answer(&mut wire);
+        session.read(&mut wire).await;
+        if let Some(reason) = session.ends(&wire, begun) {
+            break reason;
+        }
+        let answer = async { Woken::Answer(answered.next().await) };
         let moved = async {
-            Err(match wire.next().await {
-                Some(Ok(Moved::End)) => Some(Reason::PeerClosed),
-                Some(Err(_)) => Some(Reason::Reset),
-                _ => None,
-            })
+            match wire.next().await {
+                Some(Ok(Moved::End)) => Woken::End(Reason::PeerClosed),
+                Some(Err(_)) => Woken::End(Reason::Reset),
+                _ => Woken::Moved,
+            }
+        };
+        let gone = async {
+            let _ = replaced.recv().await;
+            Woken::End(Reason::Replaced)
         };
-        let other = async {
-            let tick = async {
-                let wait = if context.stopping.get().is_some() { 50 } else { 1000 };
-                Timer::after(Duration::from_millis(wait)).await;
-                Err(None)
-            };
-            let gone = async {
-                let _ = ended.recv().await;
-                Err(Some(Reason::Replaced))
-            };
-            future::or(gone, tick).await
+        let tick = async {
+            let wait = if context.stopping.get().is_some() { 50 } else { 1000 };
+            Timer::after(Duration::from_millis(wait)).await;
+            Woken::Tick
         };
-        match future::or(future::or(answer, moved), other).await {
-            Ok(Some(answer)) => ready.push_back(answer),
-            Ok(None) | Err(None) => {}
-            Err(Some(reason)) => break reason,
+        match future::or(future::or(answer, moved), future::or(gone, tick)).await {
+            Woken::Answer(Some(answer)) => session.ready.push_back(answer),
+            Woken::Answer(None) | Woken::Moved | Woken::Tick => {}
+            Woken::End(reason) => break reason,
         }
     };
-    wire.reason = reason;
-    if let Some(name) = &name {
-        let mut sessions = front.sessions.borrow_mut();
-        if sessions.get(name).is_some_and(|s| s.0 == own) {
-            sessions.remove(name);
-        }
-    }
-    // Reads nobody waits for any more; a write goes on, and its result is on the record.
-    for id in works.values().filter_map(|w| w.read) {
-        let _ = context.module.send(Mail::Left(id)).await;
-    }
+    session.end().await;
 }
--- a/crates/lichenrudder/src/platform.rs
+++ b/crates/lichenrudder/src/platform.rs
@@ -2,6 +2,7 @@
 use crate::context::{Context, Count};
 use crate::module::{Mail, Ticket};
 use crate::wire::{accept, Moved, Reason, Wire};
+use async_channel::Sender;
 use async_io::{Async, Timer};
 use dispatch::{Answer, Bytes, Request};
 use futures_lite::{future, StreamExt};
@@ -177,128 +178,169 @@
     })
 }
 
-enum Woken {
-    Moved,
-    Tick,
-    End(Reason),
+/// A client's side toward the core, without its connection.
+struct Client {
+    context: Rc<Context>,
+    /// Whether it came beyond the bound: it is answered with a refusal and closed, which guards the descriptors.
+    beyond: bool,
+    answers: Sender<(u64, Answer)>,
+    /// Commands whose answers are not written yet, in order, and the number of the first.
+    slots: VecDeque<Slot>,
+    first: u64,
+    closing: Option<Reason>,
+    asked_since_stop: bool,
+    moved: Micros,
 }
 
-async fn client(context: Rc<Context>, stream: Async<TcpStream>, address: SocketAddr) {
-    let _count = Count::up(&context, |c| &c.clients);
-    // Guards the descriptors: beyond the bound a connection is answered, with refusals, and closed.
-    let beyond = context.clients.get() > context.client_bound();
-    let mut wire = Wire::new(stream, "client", address, BOUNDS);
-    let (answers, answered) = async_channel::bounded(PIPELINE);
-    let mut answered = Box::pin(answered);
-    let (mut slots, mut first) = (VecDeque::<Slot>::new(), 0u64);
-    let (mut closing, mut asked_since) = (None, false);
-    let wait = |reply| Some(Waiting::new(&context, reply));
-    let mut moved_at = context.clock.now();
-    let reason = loop {
-        let full = slots.len() >= PIPELINE;
-        while closing.is_none() && slots.len() < PIPELINE {
-            let came = context.clock.now();
+impl Client {
+    fn push(&mut self, id: Option<RequestId>, reply: Option<Reply>) {
+        let reply = reply.map(|r| Waiting::new(&self.context, r));
+        self.slots.push_back(Slot { id, reply });
+    }
+
+    /// Takes in the commands that have come, as many as may be unanswered.
+    fn read(&mut self, wire: &mut Wire) {
+        while self.closing.is_none() && self.slots.len() < PIPELINE {
+            let came = self.context.clock.now();
             let room = wire.input.room() > 0;
-            match resp::command(wire.input.contiguous()) {
+            let fault = match resp::command(wire.input.contiguous()) {
                 Ok(Some((words, used))) => {
-                    let asked = understand(&context, &words, came);
+                    let asked = understand(&self.context, &words, came);
                     wire.input.consume(used);
                     wire.carried += 1;
-                    asked_since |= context.stopping.get().is_some();
-                    let mut slot = Slot { id: None, reply: None };
-                    match asked {
-                        Asked::Now(reply) => slot.reply = wait(Reply::text(reply)),
-                        Asked::Request(_) if beyond => slot.reply = wait(worded(Answer::Refused(None))),
-                        Asked::Request(request) => {
-                            let id = context.number();
-                            let ticket = Ticket { slot: first + slots.len() as u64, to: answers.clone() };
-                            match context.module.try_send(Mail::Take(id, request, ticket)) {
-                                Ok(()) => slot.id = Some(id),
-                                Err(_) => slot.reply = wait(worded(Answer::Refused(None))),
-                            }
-                        }
-                    }
-                    slots.push_back(slot);
-                    if beyond {
-                        closing = Some(Reason::Bound);
-                    }
+                    self.take(asked);
+                    continue;
                 }
-                Ok(None) if room => break,
-                Ok(None) => {
-                    slots.push_back(Slot {
-                        id: None,
-                        reply: wait(Reply::text("-ERR Protocol error: too long\r\n")),
-                    });
-                    closing = Some(Reason::Protocol);
-                }
-                Err(e) => {
-                    let text = format!("-ERR Protocol error: {}\r\n", e.0);
-                    slots.push_back(Slot { id: None, reply: wait(Reply::text(text)) });
-                    closing = Some(Reason::Protocol);
+                Ok(None) if room => return,
+                Ok(None) => "too long",
+                Err(e) => e.0,
+            };
+            self.push(None, Some(Reply::text(format!("-ERR Protocol error: {fault}\r\n"))));
+            self.closing = Some(Reason::Protocol);
+        }
+    }
+
+    fn take(&mut self, asked: Asked) {
+        self.asked_since_stop |= self.context.stopping.get().is_some();
+        match asked {
+            Asked::Now(reply) => self.push(None, Some(Reply::text(reply))),
+            Asked::Request(_) if self.beyond => self.push(None, Some(worded(Answer::Refused(None)))),
+            Asked::Request(request) => {
+                let id = self.context.number();
+                let slot = self.first + self.slots.len() as u64;
+                let ticket = Ticket { slot, to: self.answers.clone() };
+                match self.context.module.try_send(Mail::Take(id, request, ticket)) {
+                    Ok(()) => self.push(Some(id), None),
+                    Err(_) => self.push(None, Some(worded(Answer::Refused(None)))),
                 }
             }
         }
-        while let Some(reply) = slots.front().and_then(|s| s.reply.as_ref()) {
-            if !wire.output.push(&reply.reply.bytes()) {
+        if self.beyond {
+            self.closing = Some(Reason::Bound);
+        }
+    }
+
+    /// Puts out the answers whose turn it is, as far as there is room; tells whether there were any.
+    fn write(&mut self, wire: &mut Wire) -> bool {
+        let before = self.first;
+        while let Some(waiting) = self.slots.front().and_then(|s| s.reply.as_ref()) {
+            if !wire.output.push(&waiting.reply.bytes()) {
                 break;
             }
-            slots.pop_front();
-            first += 1;
+            self.slots.pop_front();
+            self.first += 1;
         }
-        if full && slots.len() < PIPELINE {
-            continue;
+        self.first > before
+    }
+
+    fn answered(&mut self, slot: u64, answer: Answer) {
+        let reply = Waiting::new(&self.context, worded(answer));
+        let place = slot.checked_sub(self.first).and_then(|n| self.slots.get_mut(n as usize));
+        if let Some(slot) = place {
+            slot.reply = Some(reply);
         }
-        let stopping = context.stopping.get();
-        if slots.is_empty() && wire.output.is_empty() {
-            if let Some(reason) = closing {
-                break reason;
+    }
+
+    /// Whether the connection is to end now, and why.
+    fn ends(&self, wire: &Wire) -> Option<Reason> {
+        let context = &self.context;
+        let now = context.clock.now();
+        if self.slots.is_empty() && wire.output.is_empty() {
+            if self.closing.is_some() {
+                return self.closing;
             }
-            let idle = wire.input.is_empty();
-            if stopping.is_some_and(|at| idle && (asked_since || context.clock.now().0 >= at.0 + LINGER)) {
-                break Reason::Stopped;
+            let lingered = |at: Micros| self.asked_since_stop || now.0 >= at.0 + LINGER;
+            if wire.input.is_empty() && context.stopping.get().is_some_and(lingered) {
+                return Some(Reason::Stopped);
             }
         }
         // Guards newcomers: where connections are scarce, those that stand about make room, though not while
         // anything is owed to them.
         let many = context.clients.get() > context.client_bound() * 3 / 4;
-        if many && slots.iter().all(|s| s.reply.is_some()) && context.clock.now().0 - moved_at.0 > QUIET {
-            break Reason::Idle;
+        let owed = self.slots.iter().any(|s| s.reply.is_none());
+        (many && !owed && now.0 - self.moved.0 > QUIET).then_some(Reason::Idle)
+    }
+}
+
+enum Woken {
+    Answer(Option<(u64, Answer)>),
+    Moved,
+    Tick,
+    End(Reason),
+}
+
+async fn client(context: Rc<Context>, stream: Async<TcpStream>, address: SocketAddr) {
+    let _count = Count::up(&context, |c| &c.clients);
+    let mut wire = Wire::new(stream, "client", address, BOUNDS);
+    let (answers, answered) = async_channel::bounded(PIPELINE);
+    let mut answered = Box::pin(answered);
+    let mut client = Client {
+        beyond: context.clients.get() > context.client_bound(),
+        answers,
+        slots: VecDeque::new(),
+        first: 0,
+        closing: None,
+        asked_since_stop: false,
+        moved: context.clock.now(),
+        context: context.clone(),
+    };
+    wire.reason = loop {
+        client.read(&mut wire);
+        // What was written makes place for commands that have come already.
+        while client.write(&mut wire) {
+            client.read(&mut wire);
         }
-        let answer = async { answered.next().await.map(|(slot, answer)| (slot, worded(answer))) };
+        if let Some(reason) = client.ends(&wire) {
+            break reason;
+        }
+        let stopping = context.stopping.get().is_some();
+        let answer = async { Woken::Answer(answered.next().await) };
         let moved = async {
-            Err(match wire.next().await {
+            match wire.next().await {
                 Some(Ok(Moved::End)) => Woken::End(Reason::PeerClosed),
                 Some(Err(_)) => Woken::End(Reason::Reset),
                 _ => Woken::Moved,
-            })
+            }
         };
         let stop = async {
-            let told = async {
-                match stopping {
-                    None => drop(context.stopped.1.recv().await),
-                    Some(_) => future::pending().await,
-                }
-            };
-            let pause = if stopping.is_some() { 50 } else { 20_000 };
-            let tick = async {
-                Timer::after(Duration::from_millis(pause)).await;
-            };
-            future::or(told, tick).await;
-            Err(Woken::Tick)
-        };
-        match future::or(future::or(async { Ok(answer.await) }, moved), stop).await {
-            Ok(Some((slot, reply))) => {
-                if let Some(slot) = slots.get_mut((slot - first) as usize) {
-                    slot.reply = wait(reply);
-                }
+            match stopping {
+                false => drop(context.stopped.1.recv().await),
+                true => future::pending().await,
             }
-            Ok(None) | Err(Woken::Tick) => {}
-            Err(Woken::Moved) => moved_at = context.clock.now(),
-            Err(Woken::End(reason)) => break reason,
+            Woken::Tick
+        };
+        let tick = async {
+            Timer::after(Duration::from_millis(if stopping { 50 } else { 20_000 })).await;
+            Woken::Tick
+        };
+        match future::or(future::or(answer, moved), future::or(stop, tick)).await {
+            Woken::Answer(Some((slot, answer))) => client.answered(slot, answer),
+            Woken::Answer(None) | Woken::Tick => {}
+            Woken::Moved => client.moved = context.clock.now(),
+            Woken::End(reason) => break reason,
         }
     };
-    wire.reason = reason;
-    for id in slots.iter().filter(|s| s.reply.is_none()).filter_map(|s| s.id) {
+    for id in client.slots.iter().filter(|s| s.reply.is_none()).filter_map(|s| s.id) {
         let _ = context.module.send(Mail::Left(id)).await;
     }
 }
