--- a/crates/lichenrudder/tests/log.rs
+++ b/crates/lichenrudder/tests/log.rs
@@ -50,3 +50,21 @@
         client.read_exact(&mut [0; 7]).unwrap();
     }
 }
+
+#[test]
+fn the_box_is_told_the_wait_that_is_left() {
+    let ip = address();
+    let listener = TcpListener::bind((ip.as_str(), 6390)).unwrap();
+    let program = common::Program::start(&config(&ip), &ip);
+    let list = "c=stock-read,t=premium,d=200,volume=00000003b4d60021,units=1,shard=0,hosts=1";
+    let mut ask = vec![];
+    resp::write_command(&mut ask, &[b"PREAD", b"00000000000000a1", b"1", list.as_bytes()]);
+    program.connect(6379).write_all(&ask).unwrap();
+    let (mut disk, _) = listener.accept().unwrap();
+    let mut bytes = vec![0; 4096];
+    let count = disk.read(&mut bytes).unwrap();
+    let (words, _) = resp::command(&bytes[..count]).unwrap().unwrap();
+    let wait = std::str::from_utf8(words[3]).unwrap().split(',').find_map(|w| w.strip_prefix("d=")).unwrap();
+    let wait: u32 = wait.parse().unwrap();
+    assert!((100..=198).contains(&wait), "{wait} of 200 ms, less the way and what has passed");
+}
