--- a/crates/lichenrudder/src/main.rs
+++ b/crates/lichenrudder/src/main.rs
@@ -23,8 +23,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// After SIGTERM new connections come for 0.4 s at most; nothing ends before.
-const ACCEPTING: i64 = 600_000;
+/// After SIGTERM new connections come for 0.4 s at most, and a request that crossed the closing of an idle one is
+/// sent again on a new one; nothing ends before both are over.
+const ACCEPTING: i64 = 800_000;
 /// After SIGTERM nothing that was asked in time is owed for longer than this.
 const LONGEST: i64 = 6_000_000;
 
