--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -389,11 +389,11 @@
         Some(list) => targets(list.to_string().as_bytes(), &names.zones)
             .map_err(|e| Fault { key: format!("known.{}", e.key), reason: e.reason })?,
     };
-    if file.limits.sockets < 64 {
-        return fault("limits.sockets", "must be at least 64");
+    if file.limits.sockets < 16 {
+        return fault("limits.sockets", "must be at least 16");
     }
-    if file.limits.memory_mb < 32 {
-        return fault("limits.memory_mb", "must be at least 32");
+    if file.limits.memory_mb < 8 {
+        return fault("limits.memory_mb", "must be at least 8");
     }
     if let Some(iscsi) = &file.iscsi {
         check_iscsi(iscsi, &classes, &plans)?;
