Read the configuration again on SIGHUP, and follow discovery to its new address

Checked: 129 is 128 + SIGHUP; main.rs listened for TERM, INT and USR1 only, so the signal's default ended the program. Ruled out: a panic (none in the log), the list's actor (it was idle). At fault: main.rs, Signals::new and the loop behind it; list.rs took its address once, at the start.

Now: the file is read and checked whole. A good one swaps settings and bounds in the core and the module, and the list's actor drops the old watch and asks the new address from the version that is held. A faulty one is logged with its key and changes nothing. Classes, plans and zones keep their indexes: those left out stay for open requests and can't be named any more, new ones come after. name, listen, seed, agent, health and iscsi need a restart, and are logged when they differ. SIGHUP during a planned restart is served too.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -3,6 +3,7 @@
 use oxbowhill::interface::{ListNews, Micros, NodeEntry, NodeId, NodeState, Settings, ShardId};
 use serde::Deserialize;
 use serde_json::Value;
+use std::collections::BTreeSet;
 use std::fmt;
 use std::net::SocketAddr;
 
@@ -150,7 +151,7 @@
 }
 
 /// The iSCSI front.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct Iscsi {
     /// Where initiators connect.
@@ -166,7 +167,7 @@
 }
 
 /// A listener of its own.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct Listen {
     /// Where it listens.
@@ -196,6 +197,10 @@
     pub plans: Vec<String>,
     /// Zones, in the order of the settings.
     pub zones: Vec<String>,
+    /// Classes and plans that a later file has left out: requests that are open may be of them, new ones not.
+    retired: (BTreeSet<usize>, BTreeSet<usize>),
+    /// Discovery as the file itself names it.
+    named: Option<SocketAddr>,
     /// Disk boxes close connections that are idle for this long.
     pub idle: Micros,
     /// The agent check of balancers.
@@ -420,6 +425,8 @@
         classes,
         plans,
         zones: names.zones,
+        retired: Default::default(),
+        named: file.discovery,
         idle: Micros((idle * 1e6) as i64),
         agent: file.agent,
         health: file.health,
@@ -512,3 +519,88 @@
     }
     Ok(config)
 }
+
+/// The most classes, plans or zones; a reload keeps those that are left out, so their number could grow.
+const MOST_NAMES: usize = 256;
+
+/// Lays new names over old ones: each old one keeps its place, whether it is still there or not, and what is new
+/// comes after. For each place the new one that stands there; none for an old one that was left out.
+fn lay_over<'a>(
+    key: &str,
+    old: impl Iterator<Item = &'a str>,
+    new: impl Iterator<Item = &'a str>,
+) -> Result<Vec<Option<usize>>, Fault> {
+    let (old, new): (Vec<&str>, Vec<&str>) = (old.collect(), new.collect());
+    let kept = old.iter().map(|name| new.iter().position(|n| n == name));
+    let added = (0..new.len()).filter(|i| !old.contains(&new[*i])).map(Some);
+    let places: Vec<_> = kept.chain(added).collect();
+    if places.len() > MOST_NAMES {
+        return fault(key, "too many, with those that earlier files named: this needs a restart");
+    }
+    Ok(places)
+}
+
+/// What stands in each place: the new one, or the old one where it was left out.
+fn placed<T: Clone>(places: &[Option<usize>], old: &[T], new: &[T]) -> Vec<T> {
+    let of = |(i, place): (usize, &Option<usize>)| place.map_or_else(|| &old[i], |n| &new[n]).clone();
+    places.iter().enumerate().map(of).collect()
+}
+
+fn left_out(places: &[Option<usize>]) -> BTreeSet<usize> {
+    (0..places.len()).filter(|i| places[*i].is_none()).collect()
+}
+
+impl Config {
+    /// The index of the class that a client may name so.
+    pub fn class(&self, name: &str) -> Option<usize> {
+        (0..self.classes.len()).find(|i| self.classes[*i].name == name && !self.retired.0.contains(i))
+    }
+
+    /// The index of the plan that a client may name so.
+    pub fn plan(&self, name: &str) -> Option<usize> {
+        (0..self.plans.len()).find(|i| self.plans[*i] == name && !self.retired.1.contains(i))
+    }
+
+    /// Reads the file that the environment names again, to be put in force in this one's place, and tells which
+    /// keys have changed that need a restart and stay as they were. Indexes of classes, plans and zones that are in
+    /// use keep their meaning. Discovery is the one that the file names, where it names another than before.
+    pub fn reload(&self, var: impl Fn(&str) -> Option<String>) -> Result<(Config, Vec<&'static str>), Fault> {
+        let mut new = from_env(|key| if key == "GW_DISCOVERY" { None } else { var(key) })?;
+        if new.named == self.named || (new.named.is_none() && var("GW_DISCOVERY").is_some()) {
+            new.discovery = self.discovery;
+        }
+        if let Some(iscsi) = &self.iscsi {
+            check_iscsi(iscsi, &new.classes, &new.plans)?;
+        }
+        let names = |c: &[Class]| c.iter().map(|c| c.name.clone()).collect::<Vec<_>>();
+        let (old_classes, new_classes) = (names(&self.classes), names(&new.classes));
+        let text = String::as_str;
+        let classes =
+            lay_over("settings.Classes", old_classes.iter().map(text), new_classes.iter().map(text))?;
+        let plans = lay_over("settings.Contracts", self.plans.iter().map(text), new.plans.iter().map(text))?;
+        let zones = lay_over("settings.Zones", self.zones.iter().map(text), new.zones.iter().map(text))?;
+        let (old, set) = (&self.settings, &mut new.settings);
+        set.classes = placed(&classes, &old.classes, &set.classes);
+        set.plans = placed(&plans, &old.plans, &set.plans);
+        new.classes = placed(&classes, &self.classes, &new.classes);
+        new.plans = placed(&plans, &self.plans, &new.plans);
+        new.retired = (left_out(&classes), left_out(&plans));
+        for target in &mut new.known.targets {
+            let place = zones.iter().position(|z| *z == Some(target.entry.zone as usize));
+            target.entry.zone = place.unwrap_or(zones.len()) as u32;
+        }
+        new.zones = placed(&zones, &self.zones, &new.zones);
+        let checks = [
+            ("name", new.name == self.name),
+            ("listen", new.listen == self.listen),
+            ("seed", new.seed == self.seed),
+            ("agent", new.agent == self.agent),
+            ("health", new.health == self.health),
+            ("iscsi", new.iscsi == self.iscsi),
+        ];
+        let kept = checks.into_iter().filter(|(_, same)| !same).map(|(key, _)| key).collect();
+        (new.name, new.listen, new.seed) = (self.name.clone(), self.listen, self.seed);
+        (new.agent, new.health, new.iscsi) = (self.agent.clone(), self.health.clone(), self.iscsi.clone());
+        Ok((new, kept))
+    }
+}
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -157,6 +157,10 @@
     pub news: u64,
     /// Watches asked for.
     pub watches: u64,
+    /// Settings that were put in force while it ran.
+    pub reloads: u64,
+    /// Files that were faulty when they were read again.
+    pub reload_faults: u64,
 }
 
 impl fmt::Display for Counters {
@@ -165,7 +169,8 @@
         write!(
             f,
             "taken={} served={} refused={} bounded={} failed={} left={} overdue={} sent={} further={} ok={ok} \
-             error={error} full={full} timeout={timeout} connect_failed={connect} reset={reset} news={} watches={}",
+             error={error} full={full} timeout={timeout} connect_failed={connect} reset={reset} news={} watches={} \
+             reloads={} reload_faults={}",
             self.taken,
             self.served,
             self.refused,
@@ -176,7 +181,9 @@
             self.sent,
             self.further,
             self.news,
-            self.watches
+            self.watches,
+            self.reloads,
+            self.reload_faults
         )
     }
 }
@@ -256,6 +263,15 @@
         self.tell(now, event);
     }
 
+    /// Puts other settings and bounds in force; what is open stays. The indexes of classes and plans mean what they
+    /// did. An error names the setting, and nothing has changed.
+    pub fn reload(&mut self, now: Micros, settings: Settings, bound: Bound) -> Result<(), SettingsError> {
+        self.scheduler.reload(now, settings)?;
+        self.bound = bound;
+        self.counters.reloads += 1;
+        Ok(())
+    }
+
     /// The client has gone, whatever has become of the request.
     pub fn left(&mut self, now: Micros, id: RequestId) {
         let Some(entry) = self.table.get_mut(&id) else { return };
--- a/crates/lichenrudder/src/blocks.rs
+++ b/crates/lichenrudder/src/blocks.rs
@@ -13,7 +13,8 @@
 /// The LUN and the blocks that a request is about; none where its volume has no LUN.
 fn extent(context: &Context, attempt: &Attempt) -> Option<(u8, Extent)> {
     let request = &attempt.request;
-    let luns = &context.config.iscsi.as_ref()?.luns;
+    let config = context.config();
+    let luns = &config.iscsi.as_ref()?.luns;
     let lun = luns.iter().find(|l| *l.volume == *request.volume)?;
     let extent = request.extent.unwrap_or_else(|| {
         // A client that names pieces: each has its place on the volume.
@@ -52,7 +53,7 @@
     if begun {
         session.command(lun, &cdb, body.as_deref(), expected, &mut out);
     } else {
-        let name = format!("iqn.2026-12.lichenrudder:front-{}", context.config.name);
+        let name = format!("iqn.2026-12.lichenrudder:front-{}", context.config().name);
         // A session of its own for each connection: a random part that this front never uses again.
         let [.., a, b, c, d] = context.number().0.to_be_bytes();
         session.login(&name, Some(target), [0x80, a, b, c, d, 0], &mut out);
--- a/crates/lichenrudder/src/context.rs
+++ b/crates/lichenrudder/src/context.rs
@@ -16,8 +16,7 @@
     pub executor: LocalExecutor<'static>,
     /// The clock.
     pub clock: Clock,
-    /// The configuration.
-    pub config: Config,
+    config: RefCell<Rc<Config>>,
     /// The module's mailbox.
     pub module: Sender<Mail>,
     /// The peers, by node.
@@ -47,7 +46,7 @@
         Rc::new(Context {
             executor: LocalExecutor::new(),
             clock: Clock::start(),
-            config,
+            config: RefCell::new(Rc::new(config)),
             module,
             peers: RefCell::default(),
             stopping: Cell::new(None),
@@ -62,6 +61,16 @@
         })
     }
 
+    /// The configuration in force; a reload puts another in its place.
+    pub fn config(&self) -> Rc<Config> {
+        self.config.borrow().clone()
+    }
+
+    /// Puts a configuration in force.
+    pub fn configure(&self, config: Config) {
+        self.config.replace(Rc::new(config));
+    }
+
     /// A number for a request, never used again.
     pub fn number(&self) -> RequestId {
         self.next.set(self.next.get() + 1);
@@ -75,17 +84,17 @@
 
     /// Descriptors for clients: two fifths of what may be held; as much goes to disk boxes.
     pub fn client_bound(&self) -> usize {
-        self.config.limits.sockets.min(1024) * 2 / 5
+        self.config.borrow().limits.sockets.min(1024) * 2 / 5
     }
 
     /// The bytes of answers that may wait for their clients: an eighth of the memory.
     pub fn unsent_bound(&self) -> usize {
-        self.config.limits.memory_mb.min(192) as usize * 1024 * 1024 / 8
+        self.config.borrow().limits.memory_mb.min(192) as usize * 1024 * 1024 / 8
     }
 
     /// Descriptors for disk boxes.
     pub fn upstream_bound(&self) -> usize {
-        self.config.limits.sockets.min(1024) * 2 / 5
+        self.config.borrow().limits.sockets.min(1024) * 2 / 5
     }
 }
 
--- a/crates/lichenrudder/src/iscsi_front.rs
+++ b/crates/lichenrudder/src/iscsi_front.rs
@@ -72,16 +72,16 @@
 
 fn request(front: &Front, lun: u8, lba: u64, blocks: u32, body: Option<Bytes>) -> Option<Request> {
     let (context, lun) = (&front.context, front.iscsi.luns.iter().find(|l| l.lun == lun)?);
-    let config = &context.config;
+    let config = context.config();
     let name = if body.is_some() { &lun.write_class } else { &lun.read_class };
-    let class = config.classes.iter().position(|c| c.name == *name)?;
+    let class = config.class(name)?;
     let wait = lun.deadline_ms.map_or(config.classes[class].deadline.0, |ms| ms.saturating_mul(1000) as i64);
     // The module reckons with requests of that size at most.
     let most = (config.settings.most_units as u32).max(1);
     Some(Request {
         name: format!("{:016x}", context.number().0).into(),
         class,
-        plan: config.plans.iter().position(|p| *p == lun.plan)?,
+        plan: config.plan(&lun.plan)?,
         write: body.is_some(),
         piece: format!("{:016x}", lba / u64::from(lun.piece_blocks)).into(),
         volume: lun.volume.as_str().into(),
--- a/crates/lichenrudder/src/list.rs
+++ b/crates/lichenrudder/src/list.rs
@@ -23,12 +23,21 @@
 const LINE: usize = 1024 * 1024;
 const BOUNDS: (usize, usize) = (64 * 1024, 4096);
 
-/// Runs until the program ends, which closes the mailbox: each letter asks for the watch anew.
-pub async fn run(context: Rc<Context>, asked: Receiver<()>, discovery: SocketAddr) {
+/// The list's mail.
+pub enum Ask {
+    /// The module asks for the watch, perhaps anew.
+    Watch,
+    /// Discovery has another address, or there is none any more.
+    Moved,
+}
+
+/// Runs until the program ends, which closes the mailbox.
+pub async fn run(context: Rc<Context>, asked: Receiver<Ask>) {
     let mut asked = Box::pin(asked);
-    let version = Cell::new(context.config.known.generation);
+    let version = Cell::new(context.config().known.generation);
     while asked.next().await.is_some() {
-        loop {
+        // Read each time: a reload may have given another address, which is asked from the version that is held.
+        while let Some(discovery) = context.config().discovery {
             match watch(&context, discovery, &version, &mut asked).await {
                 Reason::Replaced => {}
                 Reason::Stopped => return,
@@ -40,7 +49,7 @@
 }
 
 enum Woken {
-    Asked(Option<()>),
+    Asked(Option<Ask>),
     Moved(Option<std::io::Result<Moved>>),
 }
 
@@ -57,7 +66,7 @@
     context: &Rc<Context>,
     discovery: SocketAddr,
     version: &Cell<i64>,
-    asked: &mut Pin<Box<Receiver<()>>>,
+    asked: &mut Pin<Box<Receiver<Ask>>>,
 ) -> Reason {
     let up = within(CONNECT, async { Wire::connect("discovery", discovery, BOUNDS).await.ok() }).await;
     let Some(mut wire) = up else {
@@ -86,8 +95,9 @@
         match future::or(future::or(again, moved), silent).await {
             // Guards discovery, which takes calls in turn: one that still waits for its answer is not given up
             // for another, which would have to wait behind it.
-            Woken::Asked(Some(())) if !told => continue,
-            Woken::Asked(Some(())) => break Reason::Replaced,
+            Woken::Asked(Some(Ask::Watch)) if !told => continue,
+            // Guards against a watch that goes on at an old address: it tells nothing any more, and ends.
+            Woken::Asked(Some(Ask::Moved | Ask::Watch)) => break Reason::Replaced,
             Woken::Asked(None) => break Reason::Stopped,
             Woken::Moved(Some(Ok(Moved::Wrote))) => continue,
             Woken::Moved(Some(Ok(Moved::Read))) => heard = Instant::now(),
@@ -130,7 +140,7 @@
                 }
                 continue;
             }
-            match config::targets(line, &context.config.zones) {
+            match config::targets(line, &context.config().zones) {
                 Ok(news) => {
                     wire.carried += 1;
                     told = true;
--- a/crates/lichenrudder/src/main.rs
+++ b/crates/lichenrudder/src/main.rs
@@ -79,10 +79,41 @@
     async_io::block_on(context.executor.run(serve(context.clone(), inbox)))
 }
 
+/// Reads the file again. A good one is put in force at once, a faulty one changes nothing; either way requests and
+/// connections stay as they are.
+async fn reload(context: &Rc<Context>, list: &async_channel::Sender<list::Ask>) {
+    let old = context.config();
+    let (new, kept) = match old.reload(|key| std::env::var(key).ok()) {
+        Ok(read) => read,
+        Err(e) => {
+            crate::log::line(format_args!("reload error={e}"));
+            return drop(context.module.send(Mail::Reload(None)).await);
+        }
+    };
+    for key in kept {
+        crate::log::line(format_args!("reload key={key} needs a restart, and stays as it was"));
+    }
+    crate::log::line(format_args!("reload discovery={:?}", new.discovery));
+    // The module first: whatever a front understands by the new file must mean the same to it.
+    let _ = context.module.send(Mail::Reload(Some(Box::new(new.settings.clone())))).await;
+    let (moved, fixed) = (new.discovery != old.discovery, new.discovery.is_none());
+    let known = new.known.clone();
+    context.configure(new);
+    if fixed {
+        peer::update(context, &known.targets, true);
+        let _ = context.module.send(Mail::News(known.news())).await;
+        context.serving.set(context.serving.get() || !known.targets.is_empty());
+    }
+    if moved {
+        let _ = list.send(list::Ask::Moved).await;
+    }
+}
+
 async fn serve(context: Rc<Context>, inbox: async_channel::Receiver<Mail>) -> Result<(), String> {
-    let config = &context.config;
+    let config = context.config();
     let listener = config.listen.map(|a| bind("GW_LISTEN", a)).transpose()?;
-    let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Usr1]).map_err(|e| e.to_string())?;
+    let mut signals =
+        Signals::new([Signal::Term, Signal::Int, Signal::Usr1, Signal::Hup]).map_err(|e| e.to_string())?;
     let (ask, asked) = async_channel::bounded(4);
     let watch = ask.clone();
     peer::update(&context, &config.known.targets, true);
@@ -92,9 +123,7 @@
     }
     let actor = module::run(context.clone(), inbox, ask);
     context.executor.spawn(actor).detach();
-    if let Some(discovery) = config.discovery {
-        context.executor.spawn(list::run(context.clone(), asked, discovery)).detach();
-    }
+    context.executor.spawn(list::run(context.clone(), asked)).detach();
     context.serving.set(!config.known.targets.is_empty());
     crate::log::line(format_args!("start name={} listen={:?}", config.name, config.listen));
     if let Some(listener) = listener {
@@ -115,6 +144,7 @@
     while let Some(signal) = signals.next().await {
         match signal {
             Ok(Signal::Usr1) => drop(context.module.send(Mail::Print).await),
+            Ok(Signal::Hup) => reload(&context, &watch).await,
             _ => break,
         }
     }
@@ -123,7 +153,17 @@
     context.stopping.set(Some(since));
     context.stopped.0.close();
     loop {
-        Timer::after(Duration::from_millis(20)).await;
+        // Guards the end of a planned restart: what comes meanwhile must not cut it short.
+        let signal = async { signals.next().await.and_then(Result::ok) };
+        let tick = async {
+            Timer::after(Duration::from_millis(20)).await;
+            None
+        };
+        match futures_lite::future::or(signal, tick).await {
+            Some(Signal::Hup) => reload(&context, &watch).await,
+            Some(Signal::Usr1) => drop(context.module.send(Mail::Print).await),
+            _ => {}
+        }
         let passed = context.clock.now().0 - since.0;
         let owed = context.clients.get() > 0;
         if passed >= LONGEST || (passed >= ACCEPTING && !owed) {
--- a/crates/lichenrudder/src/module.rs
+++ b/crates/lichenrudder/src/module.rs
@@ -1,11 +1,12 @@
 //! The module's actor: takes mail from fronts, peers and the list, and carries out what the core says.
 use crate::context::Context;
+use crate::list::Ask;
 use crate::peer::PeerMail;
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use dispatch::{Answer, Bound, Core, Counters, Effect, Ended, Request};
 use futures_lite::{future, StreamExt};
-use oxbowhill::interface::{Ending, ListNews, RequestId, SettingsError};
+use oxbowhill::interface::{Ending, ListNews, RequestId, Settings, SettingsError};
 use std::rc::Rc;
 
 /// Where an answer goes: a front's connection, and the place in it.
@@ -27,6 +28,8 @@
     Ended(Ended),
     /// News of the list.
     News(ListNews),
+    /// The file was read again: its settings, or none where it was faulty.
+    Reload(Option<Box<Settings>>),
     /// Print the counters.
     Print,
 }
@@ -38,11 +41,13 @@
 pub const REQUESTS: usize = 4096;
 
 /// Runs until the program ends.
-pub async fn run(context: Rc<Context>, mail: Receiver<Mail>, watch: Sender<()>) -> Result<(), SettingsError> {
-    let limits = context.config.limits;
-    // An eighth of the memory for what is held here; rings and answers that wait have theirs.
-    let bound = Bound { requests: REQUESTS, bytes: limits.memory_mb.min(192) as usize * 1024 * 1024 / 8 };
-    let mut core: Core<Ticket> = Core::new(context.config.settings.clone(), context.config.seed, bound)?;
+pub async fn run(
+    context: Rc<Context>,
+    mail: Receiver<Mail>,
+    watch: Sender<Ask>,
+) -> Result<(), SettingsError> {
+    let config = context.config();
+    let mut core: Core<Ticket> = Core::new(config.settings.clone(), config.seed, bound(&context))?;
     let mut mail = Box::pin(mail);
     let (mut second, mut before) = (context.clock.now(), Counters::default());
     loop {
@@ -67,6 +72,12 @@
                 Mail::Left(id) => core.left(now, id),
                 Mail::Ended(ended) => core.ended(now, ended),
                 Mail::News(news) => core.news(now, news),
+                Mail::Reload(None) => core.counters.reload_faults += 1,
+                Mail::Reload(Some(settings)) => {
+                    if let Err(e) = core.reload(now, *settings, bound(&context)) {
+                        crate::log::line(format_args!("reload error={e}"));
+                    }
+                }
                 Mail::Print => {
                     crate::log::line(format_args!("counters {} open={}", core.counters, core.open()))
                 }
@@ -85,7 +96,13 @@
     }
 }
 
-fn carry_out(context: &Context, core: &mut Core<Ticket>, watch: &Sender<()>) {
+/// An eighth of the memory for what is held here; rings and answers that wait have theirs.
+fn bound(context: &Context) -> Bound {
+    let limits = context.config().limits;
+    Bound { requests: REQUESTS, bytes: limits.memory_mb.min(192) as usize * 1024 * 1024 / 8 }
+}
+
+fn carry_out(context: &Context, core: &mut Core<Ticket>, watch: &Sender<Ask>) {
     while let Some(effect) = core.effects.pop_front() {
         match effect {
             Effect::Start(attempt) => {
@@ -99,7 +116,7 @@
             }
             // The connection's mailbox has room for every answer that it is owed; a closed one has gone.
             Effect::Answer(ticket, answer) => drop(ticket.to.try_send((ticket.slot, answer))),
-            Effect::Watch => drop(watch.try_send(())),
+            Effect::Watch => drop(watch.try_send(Ask::Watch)),
         }
     }
 }
--- a/crates/lichenrudder/src/peer.rs
+++ b/crates/lichenrudder/src/peer.rs
@@ -115,7 +115,6 @@
 async fn run(context: Rc<Context>, place: Rc<Place>, inbox: Receiver<PeerMail>, own: Sender<PeerMail>) {
     let mut inbox = Box::pin(inbox);
     let mut idle: Vec<Connection> = Vec::new();
-    let fresh = (context.config.idle.0 as f64 * FRESH) as i64;
     loop {
         let sweep = async {
             Timer::after(std::time::Duration::from_secs(1)).await;
@@ -153,6 +152,7 @@
             }
             Some(PeerMail::Changed) => {
                 let now = context.clock.now();
+                let fresh = (context.config().idle.0 as f64 * FRESH) as i64;
                 for c in idle.iter_mut() {
                     let dead = place.closed.get() || c.life != place.life.get();
                     c.wire.reason = if dead { Reason::Drained } else { Reason::Idle };
@@ -212,7 +212,7 @@
     }
     let count = Count::up(context, |c| &c.upstream);
     let life = place.life.get();
-    let patience = context.config.settings.connect_timeout.0;
+    let patience = context.config().settings.connect_timeout.0;
     let until = match patience {
         0 => attempt.until,
         patience => attempt.until.min(Micros(context.clock.now().0 + patience)),
@@ -237,8 +237,9 @@
 fn command(context: &Context, attempt: &Attempt) -> Vec<u8> {
     let r = &attempt.request;
     let wait = ((attempt.until.0 - context.clock.now().0) / 1000).max(1);
-    let class = context.config.classes.get(r.class).map_or("", |c| c.name.as_str());
-    let plan = context.config.plans.get(r.plan).map_or("", |p| p.as_str());
+    let config = context.config();
+    let class = config.classes.get(r.class).map_or("", |c| c.name.as_str());
+    let plan = config.plans.get(r.plan).map_or("", |p| p.as_str());
     let shard = r.shard.map_or(-1, i64::from);
     let comma = if r.extra.is_empty() { "" } else { "," };
     let list = format!(
--- a/crates/lichenrudder/src/platform.rs
+++ b/crates/lichenrudder/src/platform.rs
@@ -136,12 +136,13 @@
     if name.is_empty() || name.len() > 256 || list.len() > 1024 {
         return error("the id or the list is too long or empty");
     }
+    let config = context.config();
     let (mut class, mut plan, mut wait, mut volume) = (None, None, None, None);
     let (mut units, mut shard, mut hosts, mut extra) = (Some(1), Some(-1), Some(1), Vec::new());
     for pair in list.split(',') {
         match pair.split_once('=') {
-            Some(("c", v)) => class = context.config.classes.iter().position(|c| c.name == v),
-            Some(("t", v)) => plan = context.config.plans.iter().position(|p| p == v),
+            Some(("c", v)) => class = config.class(v),
+            Some(("t", v)) => plan = config.plan(v),
             Some(("d", v)) => wait = v.parse::<u32>().ok(),
             Some(("volume", v)) => volume = Some(v).filter(|v| hex(v)),
             Some(("units", v)) => units = v.parse::<u32>().ok(),
@@ -158,7 +159,7 @@
     let Some(units) = units else { return error("units: not a number") };
     let Some(shard) = shard else { return error("shard: not a number") };
     let Some(hosts) = hosts else { return error("hosts: not a number") };
-    if context.config.classes[class].write != write {
+    if config.classes[class].write != write {
         return error("c: the class is of the other kind");
     }
     Asked::Request(Request {
--- a/crates/lichenrudder/tests/common/mod.rs
+++ b/crates/lichenrudder/tests/common/mod.rs
@@ -210,7 +210,8 @@
 /// Plays one file. A line is `PARTY > BYTES` (the party sends), `PARTY < BYTES` (it must get them), `PARTY ends`
 /// (its connection must end), `PARTY close`, `PARTY silent MS` (nothing may come), `PORT listens`,
 /// `PORT unvisited` (nobody has connected since),  `wait MS`,
-/// `signal NAME`, `exits CODE`, or `set FROM => TO` for the configuration. A party is opened when it is first
+/// `signal NAME`, `exits CODE`, or `set FROM => TO` for the configuration, `rewrite FROM => TO` for the file of
+/// the program that runs. A party is opened when it is first
 /// named: `client`, `initiator`, `agent` and `health` connect; `box0`, `box1` and `discovery` accept. What
 /// follows a dash tells several of a kind apart.
 pub fn play(name: &str, text: &str) {
@@ -232,10 +233,20 @@
             config = config.replace(from, &to.replace("@IP@", &ip).replace("\\n", "\n"));
             continue;
         }
+        if first == "rewrite" {
+            let (from, to) = rest.split_once(" => ").expect("FROM => TO");
+            let from = from.replace("\\n", "\n");
+            assert!(config.contains(&from), "{place}: {from} is not in the configuration");
+            config = config.replace(&from, &to.replace("@IP@", &ip).replace("\\n", "\n"));
+            let file = &program.as_ref().expect("a program that runs").file;
+            std::fs::write(file, &config).unwrap();
+            continue;
+        }
         if rest == "listens" {
             let port = match first {
                 "box0" => 6390,
                 "box1" => 6391,
+                "discovery2" => 8501,
                 _ => 8500,
             };
             listeners.insert(first, TcpListener::bind((ip.as_str(), port)).unwrap());
@@ -246,7 +257,13 @@
             assert!(listeners[first].accept().is_err(), "{place}: somebody has connected");
             continue;
         }
-        let program = program.get_or_insert_with(|| Program::start(&config, &ip));
+        let program = program.get_or_insert_with(|| {
+            spawn(
+                &config,
+                &ip,
+                if std::env::var_os("SHOW_LOG").is_some() { Stdio::inherit() } else { Stdio::null() },
+            )
+        });
         match first {
             "wait" => std::thread::sleep(Duration::from_millis(rest.parse().unwrap())),
             "signal" => program.signal(rest),
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -117,6 +117,8 @@
 
 struct Held {
     request: Request,
+    /// Whether it waits with the background; it does so to its end, whatever a reload makes of its class.
+    background: bool,
     session: usize,
     shard: ShardId,
     came: Micros,
@@ -297,18 +299,29 @@
     /// A host that knows nothing yet; an error names the setting that cannot work.
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         check(&settings)?;
+        let mut scheduler = Scheduler { rng: Random(SmallRng::seed_from_u64(seed)), ..Scheduler::default() };
+        scheduler.settle(settings);
+        Ok(scheduler)
+    }
+
+    /// Puts other settings in force; the indexes of classes and plans must mean what they did. An error names the
+    /// setting that cannot work, and nothing has changed.
+    pub fn reload(&mut self, now: Micros, settings: Settings) -> Result<(), SettingsError> {
+        check(&settings)?;
+        // Guards limits: what has passed so far fills the stores at the old rates.
+        self.sessions.iter_mut().for_each(|s| s.fill(&self.set, now.max(self.now)));
+        self.settle(settings);
+        Ok(())
+    }
+
+    fn settle(&mut self, settings: Settings) {
         let aims = settings.classes.iter().map(|c| c.aim.0 as f64);
-        let shortest_aim = aims.fold(f64::INFINITY, f64::min);
+        self.shortest_aim = aims.fold(f64::INFINITY, f64::min);
         let worth = settings.classes.iter().map(|c| c.worth).fold(0.0, f64::max);
-        let background = |c: &Class| c.aim.0 as f64 > BACKGROUND_AIM * shortest_aim && c.worth < worth;
-        Ok(Scheduler {
-            background: settings.classes.iter().map(background).collect(),
-            shortest_aim,
-            crowd: f64::from(settings.hosts) / WINDOW_CEILING,
-            set: settings,
-            rng: Random(SmallRng::seed_from_u64(seed)),
-            ..Scheduler::default()
-        })
+        let background = |c: &Class| c.aim.0 as f64 > BACKGROUND_AIM * self.shortest_aim && c.worth < worth;
+        self.background = settings.classes.iter().map(background).collect();
+        self.crowd = f64::from(settings.hosts) / WINDOW_CEILING;
+        self.set = settings;
     }
 
     /// Takes in one event and appends what is to be done about it.
@@ -562,7 +575,19 @@
             return;
         }
         let (place, lapses, ran) = (Place::Blocked, expires, None);
-        let held = Held { request, session, shard, came, due, expires, lapses, attempts: 0, place, ran };
+        let held = Held {
+            request,
+            background: lane.0,
+            session,
+            shard,
+            came,
+            due,
+            expires,
+            lapses,
+            attempts: 0,
+            place,
+            ran,
+        };
         self.requests.insert(id, held);
         if !self.hold(id) {
             return self.conclude(id, actions);
@@ -594,7 +619,7 @@
     fn enqueue(&mut self, id: RequestId, front: bool, actions: &mut Vec<Action>) {
         let Some(held) = self.requests.get_mut(&id) else { return };
         held.place = Place::Queued;
-        let lane = (self.background[held.request.class], held.session);
+        let lane = (held.background, held.session);
         let queue = self.shards.entry(held.shard).or_default().queues.entry(lane).or_default();
         queue.units += held.request.units;
         if front {
@@ -766,7 +791,7 @@
             session.limit -= units;
         }
         let node = &mut self.nodes[n];
-        let background = self.background[held.request.class];
+        let background = held.background;
         if session.reserve < units || background {
             let gap = node.latency.unwrap_or(self.shortest_aim / 4.0) / node.window;
             // Where a window is narrower than its first, many hosts with nothing but background would still
@@ -889,7 +914,7 @@
         } else {
             if held.request.shard.is_none() && held.ran.is_none() {
                 // A new object that nobody has may still go anywhere.
-                let lane = (self.background[held.request.class], held.session);
+                let lane = (held.background, held.session);
                 let elsewhere = self.place(lane, units);
                 self.requests.entry(outcome.id).and_modify(|h| h.shard = elsewhere);
             }
@@ -919,7 +944,7 @@
         let Some(held) = self.requests.get(&id) else { return };
         let class = &self.set.classes[held.request.class];
         let (repeats, aim, units) = (class.repeats, class.aim, held.request.units);
-        let (shard, lane) = (held.shard, (self.background[held.request.class], held.session));
+        let (shard, lane) = (held.shard, (held.background, held.session));
         let wait = self.expected(shard, lane, units);
         let Some(held) = self.requests.get(&id) else { return };
         let patience = Micros(held.expires.0 + ANSWER_TICKS * self.set.tick.0);
@@ -936,7 +961,7 @@
     fn remove(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(held) = self.requests.remove(&id) else { return };
         self.alarms.remove(&(held.lapses, Alarm::Lapse(id)));
-        let lane = (self.background[held.request.class], held.session);
+        let lane = (held.background, held.session);
         if held.place == Place::Queued {
             if let Some(queue) = self.shards.get_mut(&held.shard).and_then(|s| s.queues.get_mut(&lane)) {
                 queue.units -= held.request.units;
