--- a/src/decide.rs
+++ b/src/decide.rs
@@ -304,8 +304,8 @@
         Ok(scheduler)
     }
 
-    /// Puts other settings in force; the indexes of classes and plans must mean what they did. An error names the
-    /// setting that cannot work, and nothing has changed.
+    /// Puts other settings in force; the indexes of classes and plans must mean what they did. An error names
+    /// the setting that cannot work, and nothing has changed.
     pub fn reload(&mut self, now: Micros, settings: Settings) -> Result<(), SettingsError> {
         check(&settings)?;
         // Guards limits: what has passed so far fills the stores at the old rates.
