Take replies at their exact form, and give the id of an open request an error

Ruled out: CPU (0.10 of a core at most), descriptors (188 of 384). At fault: peer.rs, `outcome` (any line beginning with BUSY counted as never run, a plain string as served), `exchange` (malformed counted as a break, a half reply as silence); dispatch, `take` (no look at the client's id).

Now: only `-BUSY` with figures or none is "never ran"; `-ERR` with text is an error; all else is spoilt: an error that may have run, and the connection closes. A reply that stands still for 100 ms is spoilt. What comes before the command was written is never its answer. A connection rests 1 ms before it is used again, so that bytes beyond a reply are seen. The core keeps the ids of requests that have no answer; a second one is failed with its reason and counted.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -143,6 +143,8 @@
     pub bounded: u64,
     /// Requests failed.
     pub failed: u64,
+    /// Requests under the id of one that was open.
+    pub duplicates: u64,
     /// Requests whose client left before the answer.
     pub left: u64,
     /// Requests that the module had not answered in time.
@@ -168,7 +170,7 @@
         let [ok, error, full, timeout, connect, reset] = self.endings;
         write!(
             f,
-            "taken={} served={} refused={} bounded={} failed={} left={} overdue={} sent={} further={} ok={ok} \
+            "taken={} served={} refused={} bounded={} failed={} duplicates={} left={} overdue={} sent={} further={} ok={ok} \
              error={error} full={full} timeout={timeout} connect_failed={connect} reset={reset} news={} watches={} \
              reloads={} reload_faults={}",
             self.taken,
@@ -176,6 +178,7 @@
             self.refused,
             self.bounded,
             self.failed,
+            self.duplicates,
             self.left,
             self.overdue,
             self.sent,
@@ -199,6 +202,8 @@
 pub struct Core<T> {
     scheduler: Scheduler,
     table: BTreeMap<RequestId, Entry<T>>,
+    /// The clients' names of requests that have no answer yet.
+    names: BTreeSet<Rc<str>>,
     timers: BTreeSet<(Micros, u64)>,
     overdue: BTreeSet<(Micros, RequestId)>,
     actions: Vec<Action>,
@@ -225,6 +230,7 @@
         Ok(Core {
             scheduler: Scheduler::new(settings, seed)?,
             table: BTreeMap::new(),
+            names: BTreeSet::new(),
             timers: BTreeSet::new(),
             overdue: BTreeSet::new(),
             actions: Vec::new(),
@@ -245,6 +251,13 @@
             self.effects.push_back(Effect::Answer(ticket, Answer::Refused(Some(Micros(100_000)))));
             return;
         }
+        // Guards the request that has the name: disk boxes know requests by it, and would take one for the other.
+        if !self.names.insert(request.name.clone()) {
+            self.counters.duplicates += 1;
+            let fault = Answer::Failed("the id is that of an open request");
+            self.effects.push_back(Effect::Answer(ticket, fault));
+            return;
+        }
         let event = Event::Arrived(oxbowhill::interface::Request {
             id,
             class: request.class,
@@ -274,8 +287,10 @@
 
     /// The client has gone, whatever has become of the request.
     pub fn left(&mut self, now: Micros, id: RequestId) {
-        let Some(entry) = self.table.get_mut(&id) else { return };
-        if entry.ticket.take().is_some() {
+        if !self.table.contains_key(&id) {
+            return;
+        }
+        if self.finish(id).is_some() {
             self.counters.left += 1;
         }
         self.drop_if_done(id);
@@ -300,12 +315,12 @@
             self.counters.endings[n] += 1;
         }
         let served = ended.ending == Ending::Ok;
-        if let Some(ticket) = entry.ticket.take_if(|_| served) {
+        if let Some(ticket) = served.then(|| self.finish(ended.id)).flatten() {
             self.counters.served += 1;
             let value = ended.value.unwrap_or_else(|| Rc::from([]));
             self.effects.push_back(Effect::Answer(ticket, Answer::Served(value)));
         }
-        let finished = entry.ticket.is_none();
+        let finished = self.table.get(&ended.id).is_none_or(|e| e.ticket.is_none());
         self.drop_if_done(ended.id);
         let outcome = Outcome {
             id: ended.id,
@@ -334,9 +349,8 @@
         }
         while let Some((at, id)) = self.overdue.first().copied().filter(|o| o.0 <= now) {
             self.overdue.remove(&(at, id));
-            let Some(entry) = self.table.get_mut(&id) else { continue };
             // Guards the rule that every request is answered: whatever the module holds, its client waits no more.
-            if let Some(ticket) = entry.ticket.take() {
+            if let Some(ticket) = self.finish(id) {
                 self.counters.overdue += 1;
                 self.counters.failed += 1;
                 self.effects.push_back(Effect::Answer(ticket, Answer::Failed("no answer in time")));
@@ -351,6 +365,14 @@
         self.table.len()
     }
 
+    /// Takes the ticket of a request that has had no final answer yet.
+    fn finish(&mut self, id: RequestId) -> Option<T> {
+        let entry = self.table.get_mut(&id)?;
+        let ticket = entry.ticket.take()?;
+        self.names.remove(&entry.request.name);
+        Some(ticket)
+    }
+
     fn drop_if_done(&mut self, id: RequestId) {
         if self.table.get(&id).is_some_and(|e| e.ticket.is_none() && !e.out) {
             if let Some(entry) = self.table.remove(&id) {
@@ -361,8 +383,7 @@
     }
 
     fn answer(&mut self, id: RequestId, answer: Answer) {
-        let ticket = self.table.get_mut(&id).and_then(|e| e.ticket.take());
-        if let Some(ticket) = ticket {
+        if let Some(ticket) = self.finish(id) {
             match answer {
                 Answer::Refused(_) => self.counters.refused += 1,
                 _ => self.counters.failed += 1,
--- a/crates/lichenrudder/src/peer.rs
+++ b/crates/lichenrudder/src/peer.rs
@@ -13,6 +13,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 /// A reply holds one value, the figures and the report; a command one value.
 const BOUNDS: (usize, usize) = (resp::LONGEST + 4096, resp::LONGEST + 16 * 1024);
@@ -20,6 +21,11 @@
 const MAILBOX: usize = 1024;
 /// Idle connections that are kept for one disk box.
 const KEPT: usize = 48;
+/// How long a reply that has begun may stand still.
+const STANDSTILL: Duration = Duration::from_millis(100);
+/// A connection rests for so long before it is used again: what a box sends beyond its reply is seen by then, and is
+/// not taken for the reply to the next command.
+const REST: i64 = 1_000;
 /// Of the time after which the disk box closes an idle connection, the part for which it is used again.
 const FRESH: f64 = 0.6;
 
@@ -117,7 +123,7 @@
     let mut idle: Vec<Connection> = Vec::new();
     loop {
         let sweep = async {
-            Timer::after(std::time::Duration::from_secs(1)).await;
+            Timer::after(Duration::from_secs(1)).await;
             Some(PeerMail::Changed)
         };
         let next = match idle.is_empty() {
@@ -127,13 +133,7 @@
         match next {
             None => return,
             Some(PeerMail::Start(attempt)) => {
-                let mut connection = None;
-                while let Some(mut free) = idle.pop() {
-                    if free.life == place.life.get() && usable(&mut free).await {
-                        connection = Some(free);
-                        break;
-                    }
-                }
+                let connection = idle.pop().filter(|c| c.life == place.life.get());
                 let work = serve(context.clone(), place.clone(), attempt, connection, own.clone());
                 context.executor.spawn(work).detach();
             }
@@ -174,7 +174,15 @@
     free: Option<Connection>,
     own: Sender<PeerMail>,
 ) {
-    let connection = match free {
+    let mut ready = None;
+    if let Some(mut free) = free {
+        let rested = Micros(free.since.0 + REST).min(attempt.until);
+        if rested > context.clock.now() {
+            Timer::at(context.clock.instant(rested)).await;
+        }
+        ready = usable(&mut free).await.then_some(free);
+    }
+    let connection = match ready {
         Some(connection) => Ok(connection),
         None => connect(&context, &place, &attempt).await,
     };
@@ -254,12 +262,24 @@
     out
 }
 
-/// What a reply says: how the attempt ended, the units served elsewhere, the value; none for no sense.
+/// Whether what follows an error line's first words has the form of figures: `cost=4 inflight=7,queue=2`.
+fn figures(text: &[u8]) -> bool {
+    let pair = |p: &[u8]| p.contains(&b'=') && p.iter().all(u8::is_ascii_graphic);
+    text.is_empty() || (text[0] == b' ' && text[1..].split(|b| b" ,".contains(b)).all(pair))
+}
+
+/// What a reply says: how the attempt ended, the units served elsewhere, the value; none for one that is spoilt.
+/// Guards bookings: only an error line of the exact form says that nothing has run. Guards clients: only an array that
+/// begins with a value serves.
 fn outcome(reply: &resp::Reply<'_>) -> Option<(Ending, f64, Option<Bytes>)> {
     match reply {
-        resp::Reply::Error(line) if line.starts_with(b"BUSY") => Some((Ending::Full, 0.0, None)),
-        resp::Reply::Error(line) => Some((Ending::Error, elsewhere(line), None)),
-        resp::Reply::Bulk(Some(value)) => Some((Ending::Ok, 0.0, Some(Bytes::from(*value)))),
+        resp::Reply::Error(line) => match (line.strip_prefix(b"BUSY"), line.strip_prefix(b"ERR")) {
+            (Some(rest), _) if figures(rest) => Some((Ending::Full, elsewhere(rest), None)),
+            (_, Some(rest)) if rest.iter().all(|b| (b' '..=b'~').contains(b)) => {
+                Some((Ending::Error, elsewhere(rest), None))
+            }
+            _ => None,
+        },
         resp::Reply::Array(parts) => match parts.first() {
             Some(resp::Reply::Bulk(Some(value))) => {
                 let figures = match parts.get(1) {
@@ -278,15 +298,22 @@
     let words = text.split(|b| b" ,".contains(b));
     let cost = words.filter_map(|w| w.strip_prefix(b"cost=")).next();
     cost.and_then(|c| std::str::from_utf8(c).ok()?.parse().ok())
-        .filter(|c: &f64| c.is_finite())
+        .filter(|c: &f64| c.is_finite() && *c >= 0.0)
         .unwrap_or(0.0)
 }
 
 /// Writes the command and reads its reply; also tells whether the connection may be used again.
 async fn exchange(context: &Context, attempt: &Attempt, wire: &mut Wire) -> (Ended, bool) {
     wire.output.push(&command(context, attempt));
-    let mut late = Timer::at(context.clock.instant(attempt.until));
+    let until = context.clock.instant(attempt.until);
+    let mut late = Timer::at(until);
     loop {
+        // Guards the time that is left for another attempt: a reply comes in one go, and one that stands still
+        // half-way is spoilt.
+        let begun = !wire.input.is_empty();
+        if begun {
+            late = Timer::at(until.min(std::time::Instant::now() + STANDSTILL));
+        }
         let moved = future::or(async { wire.next().await }, async {
             (&mut late).await;
             None
@@ -300,9 +327,14 @@
             Some(Ok(Moved::Read)) => match resp::reply(wire.input.contiguous()) {
                 Ok(None) if room => continue,
                 Ok(Some((reply, used))) => {
-                    let Some((ending, elsewhere, value)) = outcome(&reply) else {
-                        wire.reason = Reason::Protocol;
-                        return (attempt.ended(Ending::Error), false);
+                    let (ending, elsewhere, value) = match outcome(&reply) {
+                        Some(said) if !unsent || said.0 == Ending::Full => said,
+                        // Whatever it answers, it is not this command.
+                        _ if unsent => (Ending::ConnectFailed, 0.0, None),
+                        _ => {
+                            wire.reason = Reason::Protocol;
+                            return (attempt.ended(Ending::Error), false);
+                        }
                     };
                     wire.input.consume(used);
                     let clean = !unsent && wire.input.is_empty();
@@ -313,8 +345,9 @@
                 }
                 _ => {
                     wire.reason = Reason::Protocol;
+                    // It has run, as far as can be told, and its box is well.
                     return (
-                        attempt.ended(if unsent { Ending::ConnectFailed } else { Ending::Reset }),
+                        attempt.ended(if unsent { Ending::ConnectFailed } else { Ending::Error }),
                         false,
                     );
                 }
@@ -323,6 +356,10 @@
                 wire.reason = Reason::Reset;
                 Ending::Reset
             }
+            None if begun => {
+                wire.reason = Reason::Protocol;
+                Ending::Error
+            }
             None => {
                 wire.reason = Reason::Timeout;
                 Ending::Timeout
