Serve open connections till shortly before the kill after SIGTERM; forget boxes and volumes

Logs: "stop" at 13.14 s, "end" at 13.94 s, the next "start" at 16.56 s: for 2.6 of 3.4 s nobody served. Ruled out: the new discovery (asked within 1 ms of SIGHUP), bounds (bounded=0, unsent=0), requests given up past half their time with nothing written (new counter `late`, 0 on all four fronts). At fault: platform.rs, LINGER and asked_since_stop: each connection was closed after one request, or idle for 0.5 s.

Now: clients go on using their connections for the longest deadline (3 s at most) less 0.6 s; then they are closed between requests. All is answered 0.8 s later: the module's mailbox cuts the time of what comes meanwhile, for both fronts. A connection that comes late has 0.2 s to bring the request that crossed the closing of another.

A box that returns counts as cold, a limit that is not full is kept. An attempt kept back by a bound of the front's own is Moot, not a failed connection, so the module does not take its box for ill; idle connections to other boxes make room first.

The checks of settings moved to src/settings.rs.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -149,12 +149,16 @@
     pub left: u64,
     /// Requests that the module had not answered in time.
     pub overdue: u64,
+    /// Requests refused or failed past half their time, with no attempt written whole.
+    pub late: u64,
     /// Attempts sent.
     pub sent: u64,
     /// Attempts sent beyond a request's first.
     pub further: u64,
     /// Attempts by ending: ok, error, full, timeout, connect failed, reset.
     pub endings: [u64; 6],
+    /// Attempts that a bound of the front's own kept back.
+    pub unsent: u64,
     /// News of the list.
     pub news: u64,
     /// Watches asked for.
@@ -170,8 +174,8 @@
         let [ok, error, full, timeout, connect, reset] = self.endings;
         write!(
             f,
-            "taken={} served={} refused={} bounded={} failed={} duplicates={} left={} overdue={} sent={} further={} ok={ok} \
-             error={error} full={full} timeout={timeout} connect_failed={connect} reset={reset} news={} watches={} \
+            "taken={} served={} refused={} bounded={} failed={} duplicates={} left={} overdue={} late={} sent={} further={} ok={ok} \
+             error={error} full={full} timeout={timeout} connect_failed={connect} reset={reset} unsent={} news={} watches={} \
              reloads={} reload_faults={}",
             self.taken,
             self.served,
@@ -181,8 +185,10 @@
             self.duplicates,
             self.left,
             self.overdue,
+            self.late,
             self.sent,
             self.further,
+            self.unsent,
             self.news,
             self.watches,
             self.reloads,
@@ -196,6 +202,9 @@
     ticket: Option<T>,
     attempts: u32,
     out: bool,
+    /// When it came, and whether an attempt was written whole.
+    came: Micros,
+    written: bool,
 }
 
 /// The core.
@@ -272,7 +281,10 @@
         self.held += weight;
         self.overdue.insert((Micros(request.until.0 + OVERDUE), id));
         let request = Rc::new(request);
-        self.table.insert(id, Entry { request, ticket: Some(ticket), attempts: 0, out: false });
+        self.table.insert(
+            id,
+            Entry { request, ticket: Some(ticket), attempts: 0, out: false, came: now, written: false },
+        );
         self.tell(now, event);
     }
 
@@ -311,8 +323,10 @@
             return;
         }
         entry.out = false;
-        if let Some(n) = position(ended.ending) {
-            self.counters.endings[n] += 1;
+        entry.written |= !matches!(ended.ending, Ending::ConnectFailed | Ending::Moot);
+        match position(ended.ending) {
+            Some(n) => self.counters.endings[n] += 1,
+            None => self.counters.unsent += 1,
         }
         let served = ended.ending == Ending::Ok;
         if let Some(ticket) = served.then(|| self.finish(ended.id)).flatten() {
@@ -353,6 +367,7 @@
             if let Some(ticket) = self.finish(id) {
                 self.counters.overdue += 1;
                 self.counters.failed += 1;
+                self.count_late(now, id);
                 self.effects.push_back(Effect::Answer(ticket, Answer::Failed("no answer in time")));
                 self.drop_if_done(id);
                 self.tell(now, Event::Left(id));
@@ -373,6 +388,11 @@
         Some(ticket)
     }
 
+    /// Nodes and volumes that the module knows.
+    pub fn known(&self) -> (usize, usize) {
+        self.scheduler.known()
+    }
+
     fn drop_if_done(&mut self, id: RequestId) {
         if self.table.get(&id).is_some_and(|e| e.ticket.is_none() && !e.out) {
             if let Some(entry) = self.table.remove(&id) {
@@ -382,7 +402,14 @@
         }
     }
 
-    fn answer(&mut self, id: RequestId, answer: Answer) {
+    /// Counts an answer that came too late for its client to try again well, with nothing to show for the time.
+    fn count_late(&mut self, now: Micros, id: RequestId) {
+        let late = |e: &Entry<T>| !e.written && now.0 - e.came.0 > (e.request.until.0 - e.came.0) / 2;
+        self.counters.late += u64::from(self.table.get(&id).is_some_and(late));
+    }
+
+    fn answer(&mut self, now: Micros, id: RequestId, answer: Answer) {
+        self.count_late(now, id);
         if let Some(ticket) = self.finish(id) {
             match answer {
                 Answer::Refused(_) => self.counters.refused += 1,
@@ -412,8 +439,8 @@
                     let attempt = Attempt { id, number, node, request, started: now, until };
                     self.effects.push_back(Effect::Start(attempt));
                 }
-                Action::Refuse { id, wait } => self.answer(id, Answer::Refused(wait)),
-                Action::Fail { id } => self.answer(id, Answer::Failed("failed")),
+                Action::Refuse { id, wait } => self.answer(now, id, Answer::Refused(wait)),
+                Action::Fail { id } => self.answer(now, id, Answer::Failed("failed")),
                 Action::SetTimer { after, token } => {
                     self.timers.insert((Micros(now.0 + after.0), token));
                 }
--- a/crates/lichenrudder/src/context.rs
+++ b/crates/lichenrudder/src/context.rs
@@ -37,6 +37,8 @@
     pub upstream: Cell<usize>,
     /// Bytes of answers that their clients have not taken yet.
     pub unsent: Cell<usize>,
+    /// Memory of the rings of clients' connections, beyond what each has in any case.
+    pub rings: Cell<usize>,
     /// Whether requests can be taken on.
     pub serving: Cell<bool>,
     /// Requests in the core's table.
@@ -61,6 +63,7 @@
             clients: Cell::new(0),
             upstream: Cell::new(0),
             unsent: Cell::new(0),
+            rings: Cell::new(0),
             serving: Cell::new(false),
             open: Cell::new(0),
             refusing: Cell::new(0),
@@ -89,6 +92,24 @@
         (self.number().0 % 0xffff) as u16 + 1
     }
 
+    /// For how long after SIGTERM clients go on using their connections. What kills the program comes no sooner than
+    /// the longest deadline, counted as 3 s at most, and 0.7 s more; until then nobody else serves these clients.
+    fn linger(&self) -> i64 {
+        let config = self.config.borrow();
+        let longest = config.classes.iter().map(|c| c.deadline.0).max().unwrap_or(0);
+        (longest.min(3_000_000) - 600_000).max(500_000)
+    }
+
+    /// Whether the program ends and connections are to be closed between requests.
+    pub fn lingered(&self) -> bool {
+        self.stopping.get().is_some_and(|at| self.clock.now().0 >= at.0 + self.linger())
+    }
+
+    /// When the program ends: by when everything must be answered.
+    pub fn answer_by(&self) -> Option<Micros> {
+        self.stopping.get().map(|at| Micros(at.0 + self.linger() + 800_000))
+    }
+
     /// Descriptors that may be held in all.
     fn descriptors(&self) -> usize {
         self.config.borrow().limits.sockets.min(1024)
@@ -111,6 +132,14 @@
         self.config.borrow().limits.memory_mb.min(192) as usize * 1024 * 1024 / 8
     }
 
+    /// The memory that clients' rings may take together beyond what each has in any case: an eighth.
+    ///
+    /// With what the core holds and what waits unsent that makes three eighths; rings toward boxes hold the core's
+    /// bodies once more and one value for each connection, at most a quarter at the least memory there is.
+    pub fn rings_full(&self) -> bool {
+        self.rings.get() > self.unsent_bound()
+    }
+
     /// Descriptors for disk boxes: what the others leave.
     pub fn upstream_bound(&self) -> usize {
         let all = self.descriptors();
--- a/crates/lichenrudder/src/iscsi_front.rs
+++ b/crates/lichenrudder/src/iscsi_front.rs
@@ -26,8 +26,6 @@
 const SESSIONS: usize = 24;
 /// Answers that may wait for a session: those of its tasks, and late ones of reads that were aborted.
 const ANSWERS: usize = 256;
-/// After SIGTERM an idle session is closed after this time.
-const LINGER: i64 = 500_000;
 /// Where connections are scarce, a session that is logged in and has stood idle for so long makes room.
 const STANDS: Micros = Micros(60_000_000);
 
@@ -257,11 +255,10 @@
     fn ends(&self, wire: &Wire, begun: Micros) -> Option<Reason> {
         let context = &self.front.context;
         let (now, written) = (context.clock.now(), wire.output.is_empty());
-        let lingered = context.stopping.get().is_some_and(|at| now.0 >= at.0 + LINGER);
         if written && self.closing.is_some() {
             return self.closing;
         }
-        if written && self.ready.is_empty() && !self.target.busy() && lingered {
+        if written && self.ready.is_empty() && !self.target.busy() && context.lingered() {
             return Some(Reason::Stopped);
         }
         // Guards sessions against connections that never log in.
--- a/crates/lichenrudder/src/main.rs
+++ b/crates/lichenrudder/src/main.rs
@@ -24,9 +24,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// After SIGTERM new connections come for 0.4 s at most, and a request that crossed the closing of an idle one is
-/// sent again on a new one; nothing ends before both are over.
+/// After SIGTERM new connections come for 0.4 s at most; nothing ends before that is over.
 const ACCEPTING: i64 = 800_000;
+/// A request that crossed the closing of its connection is sent again on a new one, which comes in this time.
+const CROSSING: i64 = 300_000;
 /// After SIGTERM nothing that was asked in time is owed for longer than this.
 const LONGEST: i64 = 6_000_000;
 
@@ -153,6 +154,7 @@
     crate::log::line(format_args!("stop open={} clients={}", context.open.get(), context.clients.get()));
     context.stopping.set(Some(since));
     context.stopped.0.close();
+    let mut last = since;
     loop {
         // Guards the end of a planned restart: what comes meanwhile must not cut it short.
         let signal = async { signals.next().await.and_then(Result::ok) };
@@ -165,9 +167,12 @@
             Some(Signal::Usr1) => drop(context.module.send(Mail::Print).await),
             _ => {}
         }
-        let passed = context.clock.now().0 - since.0;
-        let owed = context.clients.get() > 0;
-        if passed >= LONGEST || (passed >= ACCEPTING && !owed) {
+        let now = context.clock.now();
+        let passed = now.0 - since.0;
+        if context.clients.get() > 0 {
+            last = now;
+        }
+        if passed >= LONGEST || (passed >= ACCEPTING && now.0 - last.0 >= CROSSING) {
             break;
         }
     }
--- a/crates/lichenrudder/src/module.rs
+++ b/crates/lichenrudder/src/module.rs
@@ -68,7 +68,11 @@
         while let Some(Some(letter)) = next {
             let now = context.clock.now();
             match letter {
-                Mail::Take(id, request, ticket) => core.take(now, id, request, ticket),
+                Mail::Take(id, mut request, ticket) => {
+                    // Guards against a kill that finds something unanswered.
+                    request.until = context.answer_by().map_or(request.until, |by| by.min(request.until));
+                    core.take(now, id, request, ticket);
+                }
                 Mail::Left(id) => core.left(now, id),
                 Mail::Ended(ended) => core.ended(now, ended),
                 Mail::News(news) => core.news(now, news),
@@ -79,7 +83,12 @@
                     }
                 }
                 Mail::Print => {
-                    crate::log::line(format_args!("counters {} open={}", core.counters, core.open()))
+                    let (nodes, volumes) = core.known();
+                    let (open, boxes) = (core.open(), context.peers.borrow().len());
+                    crate::log::line(format_args!(
+                        "counters {} open={open} boxes={boxes} nodes={nodes} volumes={volumes}",
+                        core.counters
+                    ))
                 }
             }
             carry_out(&context, &mut core, &watch);
@@ -108,10 +117,11 @@
             Effect::Start(attempt) => {
                 let mailbox = context.peers.borrow().get(&attempt.node).map(|p| p.mail.clone());
                 let sent = mailbox.is_some_and(|m| m.try_send(PeerMail::Start(attempt.clone())).is_ok());
-                // Guards against an attempt that is lost at a full mailbox: it was not sent, and ends so.
+                // Guards against an attempt that is lost at a full mailbox: it was not sent, and ends so. That says
+                // nothing about the box.
                 if !sent {
                     let now = context.clock.now();
-                    core.ended(now, attempt.ended(Ending::ConnectFailed));
+                    core.ended(now, attempt.ended(Ending::Moot));
                 }
             }
             // The connection's mailbox has room for every answer that it is owed; a closed one has gone.
--- a/crates/lichenrudder/src/peer.rs
+++ b/crates/lichenrudder/src/peer.rs
@@ -3,14 +3,15 @@
 use crate::context::{Context, Count};
 use crate::module::Mail;
 use crate::wire::{Moved, Reason, Wire};
-use async_channel::{Receiver, Sender};
+use async_channel::{Receiver, Sender, WeakSender};
 use async_io::Timer;
 use config::{Speaks, Target};
 use dispatch::{Attempt, Bytes, Ended};
 use futures_lite::{future, StreamExt};
 use iscsi::initiator::Initiator;
-use oxbowhill::interface::{Ending, Micros, NodeState};
+use oxbowhill::interface::{Ending, Micros, NodeId, NodeState};
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -41,6 +42,8 @@
     pub speaks: Cell<Speaks>,
     /// Its target's name, for iSCSI.
     pub target: RefCell<String>,
+    /// Its idle connections.
+    idle: Cell<usize>,
     /// Its sessions or connections belong to this life of it.
     life: Cell<u32>,
 }
@@ -61,6 +64,8 @@
     Free(Box<Connection>),
     /// The list has changed.
     Changed,
+    /// Close the connection that has stood idle the longest: another disk box needs its place.
+    Spare,
     /// The program ends.
     Stop,
 }
@@ -79,15 +84,25 @@
 /// Starts peers for new entries of the list and tells those that are there.
 pub fn update(context: &Rc<Context>, targets: &[Target], whole: bool) {
     let mut peers = context.peers.borrow_mut();
+    // One that has left is forgotten: its actor ends once nothing is out there, and one that returns is new. Guards
+    // memory where every box is replaced, and replaced again.
+    let leave = |peer: &Peer| peer.place.closed.set(true);
     if whole {
-        for (node, peer) in peers.iter() {
-            if !targets.iter().any(|t| t.entry.node == *node) {
-                peer.place.closed.set(true);
+        let named: BTreeSet<&NodeId> = targets.iter().map(|t| &t.entry.node).collect();
+        peers.retain(|node, peer| {
+            let stays = named.contains(node);
+            if !stays {
+                leave(peer);
             }
-        }
+            stays
+        });
     }
     for target in targets {
         let entry = &target.entry;
+        if entry.state == NodeState::Gone {
+            peers.remove(&entry.node).iter().for_each(leave);
+            continue;
+        }
         let peer = peers.entry(entry.node.clone()).or_insert_with(|| {
             let (mail, inbox) = async_channel::bounded(MAILBOX);
             let place = Rc::new(Place {
@@ -96,9 +111,10 @@
                 started: Cell::new(entry.started),
                 speaks: Cell::new(target.speaks),
                 target: RefCell::new(target.target.clone()),
+                idle: Cell::new(0),
                 life: Cell::new(0),
             });
-            let actor = run(context.clone(), place.clone(), inbox, mail.clone());
+            let actor = run(context.clone(), place.clone(), inbox, mail.downgrade());
             context.executor.spawn(actor).detach();
             Peer { mail, place }
         });
@@ -118,7 +134,7 @@
     future::poll_once(connection.wire.next()).await.is_none()
 }
 
-async fn run(context: Rc<Context>, place: Rc<Place>, inbox: Receiver<PeerMail>, own: Sender<PeerMail>) {
+async fn run(context: Rc<Context>, place: Rc<Place>, inbox: Receiver<PeerMail>, own: WeakSender<PeerMail>) {
     let mut inbox = Box::pin(inbox);
     let mut idle: Vec<Connection> = Vec::new();
     loop {
@@ -126,15 +142,20 @@
             Timer::after(Duration::from_secs(1)).await;
             Some(PeerMail::Changed)
         };
+        place.idle.set(idle.len());
         let next = match idle.is_empty() {
             true => inbox.next().await,
             false => future::or(inbox.next(), sweep).await,
         };
         match next {
-            None => return,
+            // Forgotten, and nothing is out any more.
+            None => {
+                idle.iter_mut().for_each(|c| c.wire.reason = Reason::Drained);
+                return;
+            }
             Some(PeerMail::Start(attempt)) => {
                 let connection = idle.pop().filter(|c| c.life == place.life.get());
-                let work = serve(context.clone(), place.clone(), attempt, connection, own.clone());
+                let work = serve(context.clone(), place.clone(), attempt, connection, own.upgrade());
                 context.executor.spawn(work).detach();
             }
             Some(PeerMail::Free(mut connection)) => {
@@ -146,6 +167,11 @@
                     idle.push(*connection);
                 }
             }
+            Some(PeerMail::Spare) => {
+                if !idle.is_empty() {
+                    idle.remove(0).wire.reason = Reason::Bound;
+                }
+            }
             Some(PeerMail::Stop) => {
                 idle.iter_mut().for_each(|c| c.wire.reason = Reason::Stopped);
                 return;
@@ -172,7 +198,7 @@
     place: Rc<Place>,
     attempt: Attempt,
     free: Option<Connection>,
-    own: Sender<PeerMail>,
+    own: Option<Sender<PeerMail>>,
 ) {
     let mut ready = None;
     if let Some(mut free) = free {
@@ -191,7 +217,7 @@
         // Guards the rule on drains: told meanwhile, this attempt must not start any more.
         Ok(mut connection) if place.closed.get() => {
             connection.wire.reason = Reason::Drained;
-            attempt.ended(Ending::ConnectFailed)
+            attempt.ended(Ending::Moot)
         }
         Ok(mut connection) => {
             let (ended, keep) = match place.speaks.get() {
@@ -204,7 +230,9 @@
             connection.wire.carried += 1;
             if keep {
                 connection.since = context.clock.now();
-                drop(own.try_send(PeerMail::Free(Box::new(connection))));
+                if let Some(own) = own {
+                    drop(own.try_send(PeerMail::Free(Box::new(connection))));
+                }
             }
             ended
         }
@@ -215,8 +243,17 @@
 /// A new connection, or how the attempt ends without one.
 async fn connect(context: &Rc<Context>, place: &Place, attempt: &Attempt) -> Result<Connection, Ending> {
     let Some(address) = place.address.get() else { return Err(Ending::ConnectFailed) };
-    if context.upstream.get() >= context.upstream_bound() {
-        return Err(Ending::ConnectFailed);
+    // Guards the module's belief: the front's own bound says nothing about the box. Idle connections make room first.
+    while context.upstream.get() >= context.upstream_bound() {
+        let asked = context.peers.borrow().values().any(|peer| {
+            let idle = peer.place.idle.get();
+            peer.place.idle.set(idle.saturating_sub(1));
+            idle > 0 && peer.mail.try_send(PeerMail::Spare).is_ok()
+        });
+        if !asked {
+            return Err(Ending::Moot);
+        }
+        future::yield_now().await;
     }
     let count = Count::up(context, |c| &c.upstream);
     let life = place.life.get();
--- a/crates/lichenrudder/src/platform.rs
+++ b/crates/lichenrudder/src/platform.rs
@@ -13,14 +13,16 @@
 use std::rc::Rc;
 
 const BOUNDS: (usize, usize) = (resp::LONGEST + 4096, resp::LONGEST + 4096);
+/// What a ring takes in any case.
+const SMALL: usize = 4096;
 /// Commands of one connection that may be unanswered.
 const PIPELINE: usize = 128;
 /// A client's time began when it sent, and its answer has a way to go: so much of it is spent on that.
 const ON_THE_WAY: i64 = 2_000;
+/// A connection that comes while the others are closed has so long to bring its request.
+const CROSSED: i64 = 200_000;
 /// Commands that one connection has understood in one turn; then the others have theirs.
 const TURN: usize = 16;
-/// After SIGTERM clients go on using what is open; idle connections are closed after this time.
-const LINGER: i64 = 500_000;
 
 /// Accepts clients until the program ends.
 pub async fn listen(context: Rc<Context>, listener: Async<TcpListener>) {
@@ -187,8 +189,10 @@
     slots: VecDeque<Slot>,
     first: u64,
     closing: Option<Reason>,
-    asked_since_stop: bool,
     seat: Seat,
+    /// What its rings count for.
+    rings: usize,
+    came: Micros,
     /// When the command that is being read must be whole.
     whole_by: Option<Micros>,
     /// What was written when it last went on, and when that was.
@@ -228,6 +232,12 @@
                     } else if self.whole_by.is_none() {
                         self.whole_by = Some(Micros(came.0 + self.limits().0));
                     }
+                    // Guards memory against many large halves.
+                    if wire.input.memory() > SMALL && self.context.rings_full() {
+                        self.push(None, Some(Reply::text("-ERR too much is half there\r\n")));
+                        self.closing = Some(Reason::Bound);
+                        return false;
+                    }
                     // Guards descriptors and memory: silent connections, and commands that stay halves.
                     if self.whole_by.is_none_or(|by| came < by) {
                         return false;
@@ -253,6 +263,11 @@
         ((clients.command_s * 1e6) as i64, (clients.unread_s * 1e6) as i64)
     }
 
+    fn weigh(&mut self, rings: usize) {
+        let before = std::mem::replace(&mut self.rings, rings);
+        self.context.rings.set(self.context.rings.get() - before + rings);
+    }
+
     /// Tells the others what the connection does, and when it is to be looked at again.
     fn settle(&mut self, wire: &Wire) -> Micros {
         let now = self.context.clock.now();
@@ -262,6 +277,7 @@
             (true, _) => Doing::Idle,
             _ => Doing::Busy,
         });
+        self.weigh(wire.input.memory().saturating_sub(SMALL) + wire.output.memory().saturating_sub(SMALL));
         if wire.output.is_empty() || wire.written != self.went_on.0 {
             self.went_on = (wire.written, now);
         }
@@ -273,7 +289,6 @@
     }
 
     fn take(&mut self, asked: Asked) {
-        self.asked_since_stop |= self.context.stopping.get().is_some();
         match asked {
             Asked::Now(reply) => self.push(None, Some(Reply::text(reply))),
             Asked::Request(_) if self.beyond => self.push(None, Some(worded(Answer::Refused(None)))),
@@ -296,7 +311,9 @@
     fn write(&mut self, wire: &mut Wire) -> bool {
         let before = self.first;
         while let Some(waiting) = self.slots.front().and_then(|s| s.reply.as_ref()) {
-            if !wire.output.push(&waiting.reply.bytes()) {
+            // What is not read waits where it counts, and not in many rings.
+            let full = !wire.output.is_empty() && self.context.rings_full();
+            if full || !wire.output.push(&waiting.reply.bytes()) {
                 break;
             }
             self.slots.pop_front();
@@ -321,8 +338,9 @@
             if self.closing.is_some() {
                 return self.closing;
             }
-            let lingered = |at: Micros| self.asked_since_stop || now.0 >= at.0 + LINGER;
-            if wire.input.is_empty() && context.stopping.get().is_some_and(lingered) {
+            // One that has just come brings a request that crossed the closing of another.
+            let brings = wire.carried == 0 && now.0 < self.came.0 + CROSSED;
+            if wire.input.is_empty() && context.lingered() && !brings {
                 return Some(Reason::Stopped);
             }
         }
@@ -353,8 +371,9 @@
         slots: VecDeque::new(),
         first: 0,
         closing: None,
-        asked_since_stop: false,
         seat: Seat::take(&context, Micros((context.config().clients.idle_s * 1e6) as i64)),
+        rings: 0,
+        came: context.clock.now(),
         whole_by: None,
         went_on: (0, context.clock.now()),
         context: context.clone(),
@@ -407,6 +426,7 @@
             Woken::End(reason) => break reason,
         }
     };
+    client.weigh(0);
     for id in client.slots.iter().filter(|s| s.reply.is_none()).filter_map(|s| s.id) {
         let _ = context.module.send(Mail::Left(id)).await;
     }
--- a/crates/ring/src/lib.rs
+++ b/crates/ring/src/lib.rs
@@ -28,6 +28,11 @@
         self.len == 0
     }
 
+    /// The memory that it takes.
+    pub fn memory(&self) -> usize {
+        self.bytes.len()
+    }
+
     /// How many more it may take.
     pub fn room(&self) -> usize {
         self.bound - self.len
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -3,6 +3,7 @@
 //! A volume is a session that holds credits. Requests wait here, in one queue for each volume and shard;
 //! the node window decides how many are out at the shard's node, the turns decide whose request is next.
 use crate::interface::*;
+use crate::settings::check;
 use rand::{rngs::SmallRng, Rng, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -37,6 +38,10 @@
 const LIST_BACKOFF: f64 = 1.0 / 16.0;
 /// All hosts send a cold node this share of what would push it over, each by what it usually sends there.
 const COLD_SHARE: f64 = 0.375;
+/// Volumes that are known before those that no longer matter are forgotten, and the most of them.
+const VOLUMES: (usize, usize) = (1024, 8192);
+/// The most shards that are known, those that clients name among them.
+const SHARDS: usize = 1024;
 /// A held request is answered this many ticks before its client gives up.
 const ANSWER_TICKS: i64 = 3;
 
@@ -62,6 +67,8 @@
     limit_at: Micros,
     operations: u32,
     payload: f64,
+    /// Requests that are held here or out.
+    requests: u32,
 }
 
 #[derive(Default)]
@@ -128,7 +135,8 @@
     lapses: Micros,
     attempts: u32,
     place: Place,
-    ran: Option<(usize, Micros)>,
+    /// The shard and the zone of the first attempt that may have run, and when it was sent.
+    ran: Option<(ShardId, u32, Micros)>,
 }
 
 #[derive(Default)]
@@ -152,6 +160,8 @@
     rng: Random,
     now: Micros,
     started: Option<Micros>,
+    /// From when on limits have filled for volumes that are not known.
+    limits_from: Option<Micros>,
     background: Vec<bool>,
     shortest_aim: f64,
     /// Hosts for each place under the ceiling of a node's window: how little one host sees of a node.
@@ -162,6 +172,9 @@
     sessions: Vec<Session>,
     names: BTreeMap<NodeId, usize>,
     nodes: Vec<Node>,
+    /// Places in `sessions` and `nodes` whose volume or node is forgotten, and when to look for more volumes.
+    spare: (Vec<usize>, Vec<usize>),
+    sweep_at: usize,
     shards: BTreeMap<ShardId, Shard>,
     requests: BTreeMap<RequestId, Held>,
     keys: BTreeMap<KeyId, KeyLine>,
@@ -191,8 +204,9 @@
 }
 
 impl Session {
-    /// The reservation's store, filled up to now: a second of the rate and one largest request at most.
-    fn fill(&mut self, set: &Settings, now: Micros) {
+    /// The reservation's store, filled up to now: a second of the rate and one largest request at most; and
+    /// the limit's. Tells whether both are full.
+    fn fill(&mut self, set: &Settings, now: Micros) -> bool {
         let plan = &set.plans[self.plan];
         // This host's part of the volume, as answers tell it; the even part weighs as much as the pool.
         let prior = POOL_REQUESTS * set.mean_units;
@@ -202,8 +216,10 @@
         self.reserve = (self.reserve + rate * span(self.reserve_at, now) / 1e6).min(depth);
         self.reserve_at = now;
         let part = plan.limit_rate / self.hosts * span(self.limit_at, now) / 1e6;
-        self.limit = (self.limit + part).min(plan.limit_burst / self.hosts);
+        let burst = plan.limit_burst / self.hosts;
+        self.limit = (self.limit + part).min(burst);
         self.limit_at = now;
+        self.reserve >= depth && (plan.limit_rate <= 0.0 || self.limit >= burst)
     }
 
     /// When the limit and, beyond the reservation, the node's pace let so many units go; filled up to now.
@@ -262,39 +278,6 @@
     }
 }
 
-fn check(s: &Settings) -> Result<(), SettingsError> {
-    let figure = |x: f64| x.is_finite() && x >= 0.0;
-    let time = |t: Micros| t.0 >= 0;
-    let class = |c: &Class| c.aim.0 > 0 && c.deadline.0 > 0 && time(c.repeat_window);
-    let plan = |p: &Plan| {
-        let figures = [p.weight, p.reservation, p.limit_rate, p.limit_burst];
-        p.weight > 0.0 && figures.into_iter().all(figure)
-    };
-    let cold = [s.cold.units, s.cold.from, s.cold.multiple].into_iter().all(figure);
-    let cold = cold && time(s.cold.window) && time(s.cold.warm_up);
-    let budget = |b: &RetryBudget| time(b.window) && figure(b.floor) && figure(b.share);
-    let (mean, most) = (s.mean_units, s.most_units);
-    let checks = [
-        ("hosts", s.hosts > 0, "must be at least 1"),
-        ("classes", !s.classes.is_empty() && s.classes.iter().all(class), "one at least, times above 0"),
-        ("plans", !s.plans.is_empty() && s.plans.iter().all(plan), "one at least, finite, weights above 0"),
-        ("mean_units", figure(mean) && mean > 0.0, "must be above 0"),
-        ("most_units", figure(most) && most >= mean, "must be at least mean_units"),
-        ("max_attempts", s.max_attempts > 0, "must be at least 1"),
-        ("max_wait_hint", time(s.max_wait_hint), "must not be negative"),
-        ("connect_timeout", time(s.connect_timeout), "must not be negative"),
-        ("tick", time(s.tick), "must not be negative"),
-        ("ask_within", time(s.ask_within), "must not be negative"),
-        ("order_rest", time(s.order_rest), "must not be negative"),
-        ("cold", cold, "figures must be finite and not negative"),
-        ("retry_budget", s.retry_budget.as_ref().is_none_or(budget), "figures must not be negative"),
-    ];
-    match checks.into_iter().find(|(_, good, _)| !good) {
-        Some((field, _, reason)) => Err(SettingsError { field, reason }),
-        None => Ok(()),
-    }
-}
-
 impl Scheduler {
     /// A host that knows nothing yet; an error names the setting that cannot work.
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
@@ -309,11 +292,20 @@
     pub fn reload(&mut self, now: Micros, settings: Settings) -> Result<(), SettingsError> {
         check(&settings)?;
         // Guards limits: what has passed so far fills the stores at the old rates.
-        self.sessions.iter_mut().for_each(|s| s.fill(&self.set, now.max(self.now)));
+        self.now = self.now.max(now);
+        for session in &mut self.sessions {
+            session.fill(&self.set, self.now);
+        }
+        self.limits_from = Some(self.now);
         self.settle(settings);
         Ok(())
     }
 
+    /// Nodes and volumes that are known.
+    pub fn known(&self) -> (usize, usize) {
+        (self.names.len(), self.volumes.len())
+    }
+
     fn settle(&mut self, settings: Settings) {
         let aims = settings.classes.iter().map(|c| c.aim.0 as f64);
         self.shortest_aim = aims.fold(f64::INFINITY, f64::min);
@@ -401,20 +393,19 @@
                 let known = 1.0 - faded(self.started.unwrap_or(self.now), self.now);
                 s.served * faded(s.served_at, fresh.unwrap_or(self.now)) / (known * warm_up).max(1.0) * 1e6
             });
-            let known = self.nodes.len();
-            let n = *self.names.entry(e.node.clone()).or_insert(known);
-            if n == known {
-                let window = WINDOW_START.min(2.0 / self.crowd);
-                self.nodes.push(Node {
-                    window,
-                    first: window.min(1.0),
-                    best: f64::INFINITY,
-                    heard: self.now,
-                    ..Node::default()
-                });
+            let known = self.names.get(&e.node).copied();
+            let n = known.or_else(|| self.spare.1.pop()).unwrap_or(self.nodes.len());
+            if n == self.nodes.len() {
+                self.nodes.push(Node::default());
             }
             let node = &mut self.nodes[n];
-            if n == known || node.entry.state != NodeState::Ready || e.started > node.started {
+            if known.is_none() {
+                self.names.insert(e.node.clone(), n);
+                let window = WINDOW_START.min(2.0 / self.crowd);
+                let (first, best) = (window.min(1.0), f64::INFINITY);
+                *node = Node { window, first, best, heard: self.now, ..Node::default() };
+            }
+            if known.is_none() || node.entry.state != NodeState::Ready || e.started > node.started {
                 node.started = fresh.or(node.started);
                 (node.usual, node.phase) = (usual, self.rng.0.random());
                 (node.failures, node.not_before) = (0, self.now);
@@ -423,6 +414,7 @@
         }
         self.listed = true;
         self.heard = (0.0, 0.0);
+        self.forget_nodes();
         self.shards.values_mut().for_each(|s| s.node = None);
         for (n, node) in self.nodes.iter().enumerate().filter(|(_, n)| n.entry.state == NodeState::Ready) {
             self.heard = node.latency.map_or(self.heard, |l| (self.heard.0 + l, self.heard.1 + 1.0));
@@ -431,9 +423,80 @@
                 shard.node = Some(n);
             }
         }
+        let (now, warm_up) = (self.now, self.set.cold.warm_up.0 as f64);
+        self.shards.retain(|_, s| {
+            s.node.is_some() || !s.queues.is_empty() || (s.served > 0.0 && span(s.served_at, now) < warm_up)
+        });
         self.pump_all(actions);
     }
 
+    /// Forgets nodes that have left, once nothing is out there and the budget of a cold node holds nothing
+    /// any
+    /// more. One that returns is new, and counts as cold. Guards memory where every node is replaced.
+    fn forget_nodes(&mut self) {
+        let (now, window, nodes) = (self.now, self.set.cold.window.0 as f64, &mut self.nodes);
+        self.names.retain(|_, n| {
+            let node = &mut nodes[*n];
+            let spent = node.sends.back().is_some_and(|(at, _)| span(*at, now) <= window);
+            if node.entry.state != NodeState::Gone || !node.out.is_empty() || spent {
+                return true;
+            }
+            *node = Node::default();
+            node.entry.state = NodeState::Gone;
+            self.spare.1.push(*n);
+            false
+        });
+    }
+
+    /// Forgets volumes whose state is that of one never seen: nothing held or out, and full stores. Guards
+    /// memory
+    /// where every volume is new; a limit is not refilled by it, since it is full already.
+    fn forget_volumes(&mut self) {
+        self.unserved = self.unserved.split_off(&(self.now, 0, None, Micros(0)));
+        self.shards.values_mut().for_each(|s| s.queues.retain(|_, q| !q.held.is_empty()));
+        let waiting: BTreeSet<usize> = self.unserved.iter().map(|(_, s, _, _)| *s).collect();
+        let (set, now, sessions) = (&self.set, self.now, &mut self.sessions);
+        self.volumes.retain(|_, s| {
+            let session = &mut sessions[*s];
+            let keep = !session.fill(set, now) || session.requests > 0 || waiting.contains(s);
+            if !keep {
+                self.spare.0.push(*s);
+            }
+            keep
+        });
+    }
+
+    /// The session of a volume, a new one where it is not known; none where there are too many.
+    fn session(&mut self, request: &Request, hosts: f64) -> Option<usize> {
+        if let Some(session) = self.volumes.get(&request.volume) {
+            return Some(*session);
+        }
+        if self.volumes.len() >= self.sweep_at.max(VOLUMES.0) {
+            self.forget_volumes();
+            self.sweep_at = (2 * self.volumes.len()).min(VOLUMES.1);
+            if self.volumes.len() >= VOLUMES.1 {
+                return None;
+            }
+        }
+        // The limit's part begins empty at this host's own start: a host that was started again has
+        // forgotten what it sent, and a full part at each start would pass the limit.
+        let new = Session {
+            plan: request.plan,
+            hosts,
+            reserve: f64::INFINITY,
+            reserve_at: self.now,
+            limit_at: self.limits_from.or(self.started).unwrap_or(self.now),
+            ..Session::default()
+        };
+        let session = self.spare.0.pop().unwrap_or(self.sessions.len());
+        match self.sessions.get_mut(session) {
+            Some(place) => *place = new,
+            None => self.sessions.push(new),
+        }
+        self.volumes.insert(request.volume.clone(), session);
+        Some(session)
+    }
+
     fn pump_all(&mut self, actions: &mut Vec<Action>) {
         let shards: Vec<ShardId> = self.shards.keys().copied().collect();
         shards.into_iter().for_each(|s| self.pump(s, actions));
@@ -458,11 +521,11 @@
         match (held.ran, class.repeats) {
             (None, _) | (_, Repeats::Safe) => Micros(i64::MAX),
             (_, Repeats::Unsafe) => Micros(0),
-            (Some((at, since)), Repeats::Keyed(group)) => {
+            (Some((shard, zone, since)), Repeats::Keyed(group)) => {
                 let same = node.is_none_or(|node| match group {
                     Group::All => true,
-                    Group::Zone => self.nodes[at].entry.zone == node.zone,
-                    Group::Shard => self.nodes[at].entry.shard == node.shard,
+                    Group::Zone => zone == node.zone,
+                    Group::Shard => shard == node.shard,
                 });
                 later(since, if same { class.repeat_window.0 as f64 } else { 0.0 })
             }
@@ -539,19 +602,12 @@
         let class = &self.set.classes[request.class];
         let (aim, in_order) = (class.aim, class.in_order);
         let hosts = f64::from(request.volume_hosts.clamp(1, self.set.hosts));
-        let session = *self.volumes.entry(request.volume.clone()).or_insert(self.sessions.len());
-        if session == self.sessions.len() {
-            // The limit's part begins empty at this host's own start: a host that was started again has
-            // forgotten what it sent, and a full part at each start would pass the limit.
-            self.sessions.push(Session {
-                plan: request.plan,
-                hosts,
-                reserve: f64::INFINITY,
-                reserve_at: now,
-                limit_at: self.started.unwrap_or(now),
-                ..Session::default()
-            });
-        }
+        let full = self.shards.len() >= SHARDS;
+        let nowhere = full && request.shard.is_some_and(|s| !self.shards.contains_key(&s));
+        let Some(session) = self.session(&request, hosts).filter(|_| !nowhere) else {
+            actions.push(Action::Refuse { id, wait: self.hint(None, aim) });
+            return;
+        };
         self.sessions[session].fill(&self.set, now);
         self.sessions[session].hosts = hosts.max(self.sessions[session].hosts);
         let lane = (self.background[request.class], session);
@@ -574,6 +630,7 @@
             actions.push(Action::Refuse { id, wait: hint });
             return;
         }
+        self.sessions[session].requests += 1;
         let (place, lapses, ran) = (Place::Blocked, expires, None);
         let held = Held {
             request,
@@ -900,7 +957,7 @@
         }
         let may_run = !matches!(outcome.ending, Ending::Full | Ending::ConnectFailed | Ending::Moot);
         if may_run && held.ran.is_none() {
-            held.ran = Some((n, sent));
+            held.ran = Some((node.entry.shard, node.entry.zone, sent));
         }
         if matches!(outcome.ending, Ending::Timeout | Ending::Reset | Ending::Cancelled) {
             if let Some(line) = held.request.key.as_ref().and_then(|k| self.keys.get_mut(k)) {
@@ -960,6 +1017,7 @@
 
     fn remove(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(held) = self.requests.remove(&id) else { return };
+        self.sessions[held.session].requests -= 1;
         self.alarms.remove(&(held.lapses, Alarm::Lapse(id)));
         let lane = (held.background, held.session);
         if held.place == Place::Queued {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod decide;
 pub mod interface;
+mod settings;
 pub mod wire;
 
 pub use decide::Scheduler;
