Pass on values of boxes longer than 64 KiB, in pieces, inside one bound

Checked: the replies' other parts were in form; a second attempt often had a short value, which hid the loss on reads while writes failed, and each time the connection was thrown away. At fault: resp `bulk`, one bound of 64 KiB for commands and replies; platform.rs `write`, which put a reply into the ring whole or not at all.

Now: a reply's value may be a thirty-second of the memory (64 KiB at least), long ones as long as all that are coming take under a quarter of the memory; it is passed on in pieces. Commands keep 64 KiB.

--- a/crates/lichenrudder/src/context.rs
+++ b/crates/lichenrudder/src/context.rs
@@ -39,6 +39,8 @@
     pub unsent: Cell<usize>,
     /// Memory of the rings of clients' connections, beyond what each has in any case.
     pub rings: Cell<usize>,
+    /// Memory of replies that are coming from disk boxes.
+    pub arriving: Cell<usize>,
     /// Whether requests can be taken on.
     pub serving: Cell<bool>,
     /// Requests in the core's table.
@@ -64,6 +66,7 @@
             upstream: Cell::new(0),
             unsent: Cell::new(0),
             rings: Cell::new(0),
+            arriving: Cell::new(0),
             serving: Cell::new(false),
             open: Cell::new(0),
             refusing: Cell::new(0),
@@ -134,12 +137,22 @@
 
     /// The memory that clients' rings may take together beyond what each has in any case: an eighth.
     ///
-    /// With what the core holds and what waits unsent that makes three eighths; rings toward boxes hold the core's
-    /// bodies once more and one value for each connection, at most a quarter at the least memory there is.
+    /// With what the core holds, its bodies once more on the way to boxes, and what waits unsent that makes a half;
+    /// replies that are coming may take a quarter.
     pub fn rings_full(&self) -> bool {
         self.rings.get() > self.unsent_bound()
     }
 
+    /// The longest value that a disk box may give: a thirty-second of the memory, and 64 KiB at least.
+    pub fn longest_value(&self) -> usize {
+        (self.unsent_bound() / 4).max(resp::LONGEST)
+    }
+
+    /// Whether replies that are coming take all that they may: a quarter of the memory.
+    pub fn arriving_full(&self) -> bool {
+        self.arriving.get() > 2 * self.unsent_bound()
+    }
+
     /// Descriptors for disk boxes: what the others leave.
     pub fn upstream_bound(&self) -> usize {
         let all = self.descriptors();
@@ -147,6 +160,32 @@
     }
 }
 
+/// Memory that counts while this lives.
+pub struct Weight {
+    context: Rc<Context>,
+    which: fn(&Context) -> &Cell<usize>,
+    bytes: usize,
+}
+
+impl Weight {
+    /// Nothing yet.
+    pub fn new(context: &Rc<Context>, which: fn(&Context) -> &Cell<usize>) -> Weight {
+        Weight { context: context.clone(), which, bytes: 0 }
+    }
+
+    /// So many bytes from now on.
+    pub fn set(&mut self, bytes: usize) {
+        let (sum, before) = ((self.which)(&self.context), std::mem::replace(&mut self.bytes, bytes));
+        sum.set(sum.get() - before + bytes);
+    }
+}
+
+impl Drop for Weight {
+    fn drop(&mut self) {
+        self.set(0);
+    }
+}
+
 /// Counts one thing while it lives.
 pub struct Count {
     context: Rc<Context>,
--- a/crates/lichenrudder/src/peer.rs
+++ b/crates/lichenrudder/src/peer.rs
@@ -1,6 +1,6 @@
 //! The actor of one disk box: it carries out attempts, each alone on a connection, and keeps idle connections.
 use crate::blocks;
-use crate::context::{Context, Count};
+use crate::context::{Context, Count, Weight};
 use crate::module::Mail;
 use crate::wire::{Moved, Reason, Wire};
 use async_channel::{Receiver, Sender, WeakSender};
@@ -16,8 +16,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// A reply holds one value, the figures and the report; a command one value.
-const BOUNDS: (usize, usize) = (resp::LONGEST + 4096, resp::LONGEST + 16 * 1024);
+/// What a reply holds beside its value: the figures and the report.
+const BESIDE: usize = 4096;
+/// What a command may take: one value and its words.
+const COMMAND: usize = resp::LONGEST + 16 * 1024;
 /// The most mail that may wait.
 const MAILBOX: usize = 1024;
 /// Idle connections that are kept for one disk box.
@@ -262,7 +264,8 @@
         0 => attempt.until,
         patience => attempt.until.min(Micros(context.clock.now().0 + patience)),
     };
-    let up = async { Wire::connect("box", address, BOUNDS).await.ok() };
+    let bounds = (context.longest_value() + BESIDE, COMMAND);
+    let up = async { Wire::connect("box", address, bounds).await.ok() };
     let late = async {
         Timer::at(context.clock.instant(until)).await;
         None
@@ -340,10 +343,11 @@
 }
 
 /// Writes the command and reads its reply; also tells whether the connection may be used again.
-async fn exchange(context: &Context, attempt: &Attempt, wire: &mut Wire) -> (Ended, bool) {
+async fn exchange(context: &Rc<Context>, attempt: &Attempt, wire: &mut Wire) -> (Ended, bool) {
     wire.output.push(&command(context, attempt));
     let until = context.clock.instant(attempt.until);
     let mut late = Timer::at(until);
+    let mut weight = Weight::new(context, |c| &c.arriving);
     loop {
         // Guards the time that is left for another attempt: a reply comes in one go, and one that stands still
         // half-way is spoilt.
@@ -358,10 +362,13 @@
         let moved = moved.await;
         // Guards bookings: only before the last byte was written is it sure that nothing runs.
         let unsent = !wire.output.is_empty();
-        let room = wire.input.room() > 0;
+        weight.set(wire.input.memory());
+        // Guards memory: long values come only while there is room for all that are coming.
+        let room =
+            wire.input.room() > 0 && (wire.input.memory() <= resp::LONGEST || !context.arriving_full());
         let ending = match moved {
             Some(Ok(Moved::Wrote)) => continue,
-            Some(Ok(Moved::Read)) => match resp::reply(wire.input.contiguous()) {
+            Some(Ok(Moved::Read)) => match resp::reply(wire.input.contiguous(), context.longest_value()) {
                 Ok(None) if room => continue,
                 Ok(Some((reply, used))) => {
                     let (ending, elsewhere, value) = match outcome(&reply) {
--- a/crates/lichenrudder/src/platform.rs
+++ b/crates/lichenrudder/src/platform.rs
@@ -1,5 +1,5 @@
 //! The platform's front: RESP2 commands of clients, turned into requests of the core and back.
-use crate::context::{Context, Count};
+use crate::context::{Context, Count, Weight};
 use crate::module::{Mail, Ticket};
 use crate::seats::{room, Doing, Seat};
 use crate::wire::{accept, Moved, Reason, Wire};
@@ -8,6 +8,7 @@
 use dispatch::{Answer, Bytes, Request};
 use futures_lite::{future, StreamExt};
 use oxbowhill::interface::{Micros, RequestId};
+use ring::Ring;
 use std::collections::VecDeque;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
@@ -34,7 +35,8 @@
 
 enum Reply {
     Bytes(Vec<u8>),
-    Value(Bytes),
+    /// The head of a bulk string, and its value.
+    Value(Vec<u8>, Bytes),
 }
 
 struct Slot {
@@ -45,6 +47,8 @@
 /// An answer that waits for its client; its bytes count against the bound while it does.
 struct Waiting {
     reply: Reply,
+    /// How much of it is in the ring.
+    begun: usize,
     weight: usize,
     context: Rc<Context>,
 }
@@ -53,7 +57,7 @@
     fn new(context: &Rc<Context>, reply: Reply) -> Waiting {
         let weight = match &reply {
             Reply::Bytes(bytes) => bytes.len(),
-            Reply::Value(value) => value.len(),
+            Reply::Value(_, value) => value.len(),
         };
         // Guards the memory against clients that ask and do not read. It has run: failed, and not refused.
         let unsent = context.unsent.get() + weight;
@@ -64,7 +68,7 @@
             );
         }
         context.unsent.set(unsent);
-        Waiting { reply, weight, context: context.clone() }
+        Waiting { reply, begun: 0, weight, context: context.clone() }
     }
 }
 
@@ -79,21 +83,22 @@
         Reply::Bytes(text.into())
     }
 
-    fn bytes(&self) -> Vec<u8> {
+    /// What follows after so many bytes, as far as it lies in one piece; empty at the end.
+    fn from(&self, at: usize) -> &[u8] {
         match self {
-            Reply::Bytes(bytes) => bytes.clone(),
-            Reply::Value(value) => {
-                let mut out = Vec::with_capacity(value.len() + 16);
-                resp::write_bulk(&mut out, value);
-                out
-            }
+            Reply::Bytes(bytes) => &bytes[at..],
+            Reply::Value(head, value) => match at.checked_sub(head.len()) {
+                None => &head[at..],
+                Some(at) if at < value.len() => &value[at..],
+                Some(at) => &b"\r\n"[at - value.len()..],
+            },
         }
     }
 }
 
 fn worded(answer: Answer) -> Reply {
     match answer {
-        Answer::Served(value) => Reply::Value(value),
+        Answer::Served(value) => Reply::Value(format!("${}\r\n", value.len()).into_bytes(), value),
         // Rounded up: a client that came back earlier than told would be refused again.
         Answer::Refused(Some(wait)) => Reply::text(format!("-BUSY {}\r\n", (wait.0.max(0) + 999) / 1000)),
         Answer::Refused(None) => Reply::text("-BUSY\r\n"),
@@ -191,7 +196,7 @@
     closing: Option<Reason>,
     seat: Seat,
     /// What its rings count for.
-    rings: usize,
+    rings: Weight,
     came: Micros,
     /// When the command that is being read must be whole.
     whole_by: Option<Micros>,
@@ -263,11 +268,6 @@
         ((clients.command_s * 1e6) as i64, (clients.unread_s * 1e6) as i64)
     }
 
-    fn weigh(&mut self, rings: usize) {
-        let before = std::mem::replace(&mut self.rings, rings);
-        self.context.rings.set(self.context.rings.get() - before + rings);
-    }
-
     /// Tells the others what the connection does, and when it is to be looked at again.
     fn settle(&mut self, wire: &Wire) -> Micros {
         let now = self.context.clock.now();
@@ -277,7 +277,8 @@
             (true, _) => Doing::Idle,
             _ => Doing::Busy,
         });
-        self.weigh(wire.input.memory().saturating_sub(SMALL) + wire.output.memory().saturating_sub(SMALL));
+        let beyond = |ring: &Ring| ring.memory().saturating_sub(SMALL);
+        self.rings.set(beyond(&wire.input) + beyond(&wire.output));
         if wire.output.is_empty() || wire.written != self.went_on.0 {
             self.went_on = (wire.written, now);
         }
@@ -310,12 +311,21 @@
     /// Puts out the answers whose turn it is, as far as there is room; tells whether there were any.
     fn write(&mut self, wire: &mut Wire) -> bool {
         let before = self.first;
-        while let Some(waiting) = self.slots.front().and_then(|s| s.reply.as_ref()) {
+        while let Some(waiting) = self.slots.front_mut().and_then(|s| s.reply.as_mut()) {
             // What is not read waits where it counts, and not in many rings.
-            let full = !wire.output.is_empty() && self.context.rings_full();
-            if full || !wire.output.push(&waiting.reply.bytes()) {
+            if !wire.output.is_empty() && self.context.rings_full() {
                 break;
             }
+            let piece = waiting.reply.from(waiting.begun);
+            if !piece.is_empty() {
+                let count = piece.len().min(wire.output.room());
+                if count == 0 {
+                    break;
+                }
+                wire.output.push(&piece[..count]);
+                waiting.begun += count;
+                continue;
+            }
             self.slots.pop_front();
             self.first += 1;
         }
@@ -372,7 +382,7 @@
         first: 0,
         closing: None,
         seat: Seat::take(&context, Micros((context.config().clients.idle_s * 1e6) as i64)),
-        rings: 0,
+        rings: Weight::new(&context, |c| &c.rings),
         came: context.clock.now(),
         whole_by: None,
         went_on: (0, context.clock.now()),
@@ -426,7 +436,6 @@
             Woken::End(reason) => break reason,
         }
     };
-    client.weigh(0);
     for id in client.slots.iter().filter(|s| s.reply.is_none()).filter_map(|s| s.id) {
         let _ = context.module.send(Mail::Left(id)).await;
     }
--- a/crates/resp/src/lib.rs
+++ b/crates/resp/src/lib.rs
@@ -1,6 +1,6 @@
 //! RESP2 as bytes: commands and replies are read from the front of a buffer, which may hold only a part of one.
 
-/// The longest value.
+/// The longest value of a command.
 pub const LONGEST: usize = 64 * 1024;
 /// The most words of a command, and of an array in a reply.
 const MOST: usize = 64;
@@ -45,13 +45,13 @@
     text.parse().map_err(|_| Malformed("not a number"))
 }
 
-fn bulk(bytes: &[u8], length: i64, at: usize) -> Part<(Option<&[u8]>, usize)> {
+fn bulk(bytes: &[u8], length: i64, at: usize, longest: usize) -> Part<(Option<&[u8]>, usize)> {
     if length == -1 {
         return Ok(Some((None, at)));
     }
     let length = usize::try_from(length).map_err(|_| Malformed("invalid bulk length"))?;
-    if length > LONGEST {
-        return Err(Malformed("a value is longer than 64 KiB"));
+    if length > longest {
+        return Err(Malformed("a value is too long"));
     }
     match bytes.get(at + length..at + length + 2) {
         Some(b"\r\n") => Ok(Some((Some(&bytes[at..at + length]), at + length + 2))),
@@ -80,14 +80,14 @@
             Some(_) => return Err(Malformed("a word must be a bulk string")),
         }
         let Some((length, start)) = line(bytes, at + 1)? else { return Ok(None) };
-        let Some((word, next)) = bulk(bytes, number(length)?, start)? else { return Ok(None) };
+        let Some((word, next)) = bulk(bytes, number(length)?, start, LONGEST)? else { return Ok(None) };
         words.push(word.ok_or(Malformed("a word is null"))?);
         at = next;
     }
     Ok(Some((words, at)))
 }
 
-fn reply_at(bytes: &[u8], at: usize, depth: usize) -> Part<(Reply<'_>, usize)> {
+fn reply_at(bytes: &[u8], at: usize, depth: usize, longest: usize) -> Part<(Reply<'_>, usize)> {
     let Some(kind) = bytes.get(at) else { return Ok(None) };
     if !b"+-:$*".contains(kind) {
         return Err(Malformed("unknown kind of reply"));
@@ -97,7 +97,7 @@
         b'+' => (Reply::Simple(head), next),
         b'-' => (Reply::Error(head), next),
         b':' => (Reply::Number(number(head)?), next),
-        b'$' => match bulk(bytes, number(head)?, next)? {
+        b'$' => match bulk(bytes, number(head)?, next, longest)? {
             Some((value, next)) => (Reply::Bulk(value), next),
             None => return Ok(None),
         },
@@ -108,7 +108,7 @@
             }
             let (mut parts, mut next) = (Vec::with_capacity(count), next);
             for _ in 0..count {
-                let Some((part, end)) = reply_at(bytes, next, depth + 1)? else { return Ok(None) };
+                let Some((part, end)) = reply_at(bytes, next, depth + 1, longest)? else { return Ok(None) };
                 parts.push(part);
                 next = end;
             }
@@ -117,9 +117,9 @@
     }))
 }
 
-/// The first reply and its length in bytes; none while it is not whole.
-pub fn reply(bytes: &[u8]) -> Part<(Reply<'_>, usize)> {
-    reply_at(bytes, 0, 0)
+/// The first reply and its length in bytes; none while it is not whole. A value of it may be `longest` bytes.
+pub fn reply(bytes: &[u8], longest: usize) -> Part<(Reply<'_>, usize)> {
+    reply_at(bytes, 0, 0, longest)
 }
 
 /// Appends a bulk string.
