--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -205,6 +205,8 @@
     pub seed: u64,
     /// The machine's limits.
     pub limits: Limits,
+    /// How many shards there are, where the settings say so.
+    pub shards: Option<u32>,
     /// How long clients' connections are waited for.
     pub clients: Clients,
     /// The list as this front last had it, or the fixed one.
@@ -322,6 +324,7 @@
 #[serde(rename_all = "PascalCase", default)]
 struct FamilyIn {
     writes: Vec<bool>,
+    slots_total: u32,
 }
 
 /// Reads one message of discovery; times on it are Unix milliseconds, which are turned into the clock's
@@ -394,6 +397,7 @@
     oxbowhill::Scheduler::new(settings.clone(), 0)
         .map_err(|e| Fault { key: format!("settings ({})", e.field), reason: e.reason.into() })?;
     let names: NamesIn = section(setup, "settings")?;
+    let shards = Some(names.family_info.slots_total).filter(|n| *n > 0);
     let writes = names.family_info.writes;
     let classes: Vec<Class> = names
         .classes
@@ -450,6 +454,7 @@
         discovery: file.discovery,
         seed,
         limits: file.limits,
+        shards,
         clients: file.clients,
         known,
         settings,
--- a/crates/lichenrudder/src/iscsi_front.rs
+++ b/crates/lichenrudder/src/iscsi_front.rs
@@ -266,6 +266,21 @@
         (self.name.is_none() && now.0 - begun.0 >= login).then_some(Reason::Idle)
     }
 
+    /// Why the session is to end where neither a half PDU nor what waits to be read has gone on in time.
+    // Guards memory and descriptors, as it does on the other front.
+    fn stands_still(&self, wire: &Wire, went_on: &mut (u64, u64, Micros)) -> Option<Reason> {
+        let (now, clients) = (self.front.context.clock.now(), self.front.context.config().clients);
+        let nothing = wire.input.is_empty() && wire.output.is_empty();
+        if nothing || (went_on.0, went_on.1) != (wire.carried, wire.written) {
+            *went_on = (wire.carried, wire.written, now);
+        }
+        let (limit, reason) = match wire.output.is_empty() {
+            true => (clients.command_s, Reason::Protocol),
+            false => (clients.unread_s, Reason::Unread),
+        };
+        (now.0 - went_on.2 .0 >= (limit * 1e6) as i64).then_some(reason)
+    }
+
     async fn end(self) {
         if let Some(name) = &self.name {
             let mut sessions = self.front.sessions.borrow_mut();
@@ -302,12 +317,16 @@
     let replaced = session.replaced.1.clone();
     let begun = context.clock.now();
     let seat = Seat::take(&context, STANDS);
+    let mut went_on = (0, 0, begun);
     wire.reason = loop {
         session.answer(&mut wire);
         session.read(&mut wire).await;
         if let Some(reason) = session.ends(&wire, begun) {
             break reason;
         }
+        if let Some(reason) = session.stands_still(&wire, &mut went_on) {
+            break reason;
+        }
         let nothing = !session.target.busy() && session.ready.is_empty() && wire.output.is_empty();
         seat.set(match (nothing && wire.input.is_empty(), wire.carried) {
             (true, 0) => Doing::Silent,
@@ -329,7 +348,7 @@
             Woken::End(Reason::Replaced)
         };
         let tick = async {
-            let wait = if context.stopping.get().is_some() { 50 } else { 1000 };
+            let wait = if context.stopping.get().is_some() { 50 } else { 500 };
             Timer::after(Duration::from_millis(wait)).await;
             Woken::Tick
         };
--- a/crates/lichenrudder/src/platform.rs
+++ b/crates/lichenrudder/src/platform.rs
@@ -141,6 +141,9 @@
     if name.is_empty() || name.len() > 256 || list.len() > 1024 {
         return error("the id or the list is too long or empty");
     }
+    if !name.bytes().all(|b| b.is_ascii_graphic()) {
+        return error("the id must be printable and without spaces");
+    }
     let config = context.config();
     let (mut class, mut plan, mut wait, mut volume) = (None, None, None, None);
     let (mut units, mut shard, mut hosts, mut extra) = (Some(1), Some(-1), Some(1), Vec::new());
@@ -161,12 +164,18 @@
     let Some(plan) = plan else { return error("t: unknown plan") };
     let Some(wait) = wait else { return error("d: not a time in milliseconds") };
     let Some(volume) = volume else { return error("volume: must be 16 hex digits") };
-    let Some(units) = units else { return error("units: not a number") };
-    let Some(shard) = shard else { return error("shard: not a number") };
-    let Some(hosts) = hosts else { return error("hosts: not a number") };
+    // Guards disk boxes and the module against what no box can use.
+    let Some(units) = units.filter(|u| (1.0..=config.settings.most_units).contains(&f64::from(*u))) else {
+        return error("units: not a number from 1 to the largest size");
+    };
+    let there = |s: &i32| *s >= -1 && config.shards.is_none_or(|n| i64::from(*s) < i64::from(n));
+    let Some(shard) = shard.filter(there) else { return error("shard: not the number of one") };
+    let Some(hosts) = hosts.filter(|h| *h > 0) else { return error("hosts: not a number above 0") };
     if config.classes[class].write != write {
         return error("c: the class is of the other kind");
     }
+    // Guards the module, which remembers until when clients wait, against ones that say they wait for weeks.
+    let wait = (i64::from(wait) * 1000).min(config.classes[class].deadline.0);
     Asked::Request(Request {
         name: name.into(),
         class,
@@ -180,7 +189,7 @@
         extra: extra.join(",").into(),
         body: words.get(4).map(|b| Bytes::from(*b)),
         extent: None,
-        until: Micros(came.0 + i64::from(wait) * 1000 - ON_THE_WAY),
+        until: Micros(came.0 + wait - ON_THE_WAY),
     })
 }
 
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -296,7 +296,10 @@
         for session in &mut self.sessions {
             session.fill(&self.set, self.now);
         }
-        self.limits_from = Some(self.now);
+        let limits = |s: &Settings| s.plans.iter().map(|p| (p.limit_rate, p.limit_burst)).collect::<Vec<_>>();
+        if limits(&settings) != limits(&self.set) {
+            self.limits_from = Some(self.now);
+        }
         self.settle(settings);
         Ok(())
     }
--- a/tests/forgetting.rs
+++ b/tests/forgetting.rs
@@ -86,3 +86,33 @@
     list(&mut host, vec![entry("c", 2)]);
     assert_eq!(sent(&host.arrive(Request { shard: Some(ShardId(2)), ..request(9000) })), vec![9000]);
 }
+
+#[test]
+fn a_reload_refills_no_limit_and_changes_those_that_it_names() {
+    let limited =
+        |rate| Settings { plans: vec![Plan { limit_rate: rate, limit_burst: 8.0, ..plan() }], ..settings() };
+    let mut host = Host::new(limited(4.0));
+    host.pass(10 * S);
+    let of = |id: u64, volume: &str| Request { volume: VolumeId(volume.into()), ..request(id) };
+    let count = |host: &mut Host, from: u64, volume: &str| {
+        let ids = from..from + 8;
+        ids.filter(|id| {
+            let sends = sent(&host.arrive(of(*id, volume))).len() == 1;
+            if sends {
+                host.end(*id, Ending::Ok, MS);
+            }
+            sends
+        })
+        .count()
+    };
+    assert_eq!(count(&mut host, 10, "known"), 4);
+    let now = Micros(host.now);
+    host.scheduler.reload(now, limited(4.0)).expect("good settings");
+    assert_eq!((count(&mut host, 20, "known"), count(&mut host, 30, "new")), (0, 4), "the same limits");
+    let now = Micros(host.now);
+    host.scheduler.reload(now, limited(40.0)).expect("good settings");
+    assert_eq!(count(&mut host, 40, "newer"), 0, "what was sent under the old limits is not known");
+    assert!(!sent(&host.pass(S)).is_empty(), "it fills at the new rate");
+    let faulty = Settings { hosts: 0, ..limited(1.0) };
+    assert!(host.scheduler.reload(Micros(host.now), faulty).is_err());
+}
