Count a connection before the next one is accepted; make room at the bound after 50 ms

A probe of all places each second: 148 of 152 stood idle while 1 to 8 were in use, so there was room to be made. At fault: wire.rs `accept`, which took connections in a burst before any was counted, so that `room` saw none of them; seats.rs, which let none go before its 2 s even where newcomers had to be refused.

--- a/crates/lichenrudder/src/seats.rs
+++ b/crates/lichenrudder/src/seats.rs
@@ -7,7 +7,8 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
-/// A connection on which nothing has come has nothing to lose; at the bound it makes room after this time.
+/// A connection on which nothing has come has nothing to lose; where connections are scarce it makes room after this
+/// time, and at the bound one that stands between requests does too.
 const SILENT: i64 = 50_000;
 
 /// Connections are scarce from this part of their bound on.
@@ -83,13 +84,15 @@
 /// use or have just been.
 fn longest_idle(context: &Context) -> Option<Rc<Entry>> {
     let now = context.clock.now();
+    // Guards newcomers, whose requests would be refused: at the bound it costs less that a client opens another.
+    let full = context.clients.get() >= context.client_bound();
     let seats = context.seats.borrow();
     let may = |e: &&Rc<Entry>| {
         let stood = now.0 - e.since.get().0;
         !e.asked.get()
             && match e.doing.get() {
                 Doing::Silent => stood >= SILENT,
-                Doing::Idle => stood >= e.patience,
+                Doing::Idle => stood >= if full { e.patience.min(SILENT) } else { e.patience },
                 Doing::Busy => false,
             }
     };
--- a/crates/lichenrudder/src/wire.rs
+++ b/crates/lichenrudder/src/wire.rs
@@ -142,6 +142,8 @@
             Some(Ok(stream)) => {
                 if let Ok(address) = stream.get_ref().peer_addr() {
                     take(stream, address);
+                    // Guards the bounds: it must be counted before the next one asks whether there is room.
+                    futures_lite::future::yield_now().await;
                 }
             }
             // Out of descriptors: what waits will be accepted a little later.
