Let those that asked once make room after 0.1 s where clients have hardly any connection left

The probe of places: about 131 connections at each front, 120 to 148 of them idle, 1 to 11 in use. 131 is the third of 384 descriptors that clients may hold for requests, and a few others. Concluded and measured: the standing connections used up what the clients may open. At fault: seats.rs `longest_idle`, one patience (2 s) whatever is left; it let the usual clients go as readily as others.

Now: 2 s as before, but from a quarter of the descriptors on 0.1 s; connections that were used once go before those used again. Ruled out: the module's refusals, bounds of the core (bounded=0), boxes (88 connections, no error).

--- a/crates/lichenrudder/src/context.rs
+++ b/crates/lichenrudder/src/context.rs
@@ -125,6 +125,11 @@
         (all * 2 / 5).min((all - OWN.min(all / 2)) / 2)
     }
 
+    /// From how many on clients have hardly any connection left: they hold a third of the descriptors for requests.
+    pub fn clients_full(&self) -> usize {
+        (self.descriptors() / 4).min(self.client_bound())
+    }
+
     /// Descriptors for clients beyond that bound, which are answered with a refusal and closed.
     pub fn beyond_bound(&self) -> usize {
         (self.descriptors() / 16).max(1)
--- a/crates/lichenrudder/src/seats.rs
+++ b/crates/lichenrudder/src/seats.rs
@@ -8,8 +8,10 @@
 use std::rc::Rc;
 
 /// A connection on which nothing has come has nothing to lose; where connections are scarce it makes room after this
-/// time, and at the bound one that stands between requests does too.
+/// time.
 const SILENT: i64 = 50_000;
+/// Where nearly none are left, one that stands between requests makes room after this time.
+const SHORT: i64 = 100_000;
 
 /// Connections are scarce from this part of their bound on.
 const SCARCE: usize = 3;
@@ -37,6 +39,8 @@
 /// What others see of a place.
 pub struct Entry {
     doing: Cell<Doing>,
+    /// Whether it was in use more than once.
+    usual: Cell<bool>,
     since: Cell<Micros>,
     /// How long it may stand idle even where places are scarce.
     patience: i64,
@@ -50,6 +54,7 @@
         let (ask, asked) = async_channel::bounded(1);
         let entry = Rc::new(Entry {
             doing: Cell::new(Doing::Silent),
+            usual: Cell::new(false),
             since: Cell::new(context.clock.now()),
             patience: patience.0,
             asked: Cell::new(false),
@@ -62,7 +67,9 @@
 
     /// Says what the connection does now.
     pub fn set(&self, doing: Doing) {
-        if self.entry.doing.replace(doing) != doing {
+        let before = self.entry.doing.replace(doing);
+        if before != doing {
+            self.entry.usual.set(self.entry.usual.get() || before == Doing::Idle);
             self.entry.since.set(self.context.clock.now());
             self.entry.asked.set(false);
         }
@@ -80,23 +87,24 @@
     }
 }
 
-/// The connection that is to make room: silent ones first, then the one idle for the longest; none where all are in
-/// use or have just been.
+/// The connection that is to make room: silent ones first, then those that asked once, and of these the one idle for
+/// the longest; none where all are in use or have just been.
 fn longest_idle(context: &Context) -> Option<Rc<Entry>> {
     let now = context.clock.now();
-    // Guards newcomers, whose requests would be refused: at the bound it costs less that a client opens another.
-    let full = context.clients.get() >= context.client_bound();
+    // Guards newcomers, whose requests would fail: it costs less that another client opens one more.
+    let full = context.clients.get() >= context.clients_full();
     let seats = context.seats.borrow();
     let may = |e: &&Rc<Entry>| {
         let stood = now.0 - e.since.get().0;
         !e.asked.get()
             && match e.doing.get() {
                 Doing::Silent => stood >= SILENT,
-                Doing::Idle => stood >= if full { e.patience.min(SILENT) } else { e.patience },
+                Doing::Idle => stood >= if full { e.patience.min(SHORT) } else { e.patience },
                 Doing::Busy => false,
             }
     };
-    seats.values().filter(may).min_by_key(|e| (e.doing.get() != Doing::Silent, e.since.get())).cloned()
+    let turn = |e: &&Rc<Entry>| (e.doing.get() != Doing::Silent, e.usual.get(), e.since.get());
+    seats.values().filter(may).min_by_key(turn).cloned()
 }
 
 /// Before one more connection is accepted: where connections are scarce, lets others make room, as far as they can.
