Keep idle iSCSI sessions where clients of the other front run out of connections

At fault: seats.rs `longest_idle`. Now each front names both of its times; a session's are 60 s both.

--- a/crates/lichenrudder/src/iscsi_front.rs
+++ b/crates/lichenrudder/src/iscsi_front.rs
@@ -26,7 +26,8 @@
 const SESSIONS: usize = 24;
 /// Answers that may wait for a session: those of its tasks, and late ones of reads that were aborted.
 const ANSWERS: usize = 256;
-/// Where connections are scarce, a session that is logged in and has stood idle for so long makes room.
+/// Where connections are scarce, a session that is logged in and has stood idle for so long makes room. Guards mounts
+/// against crowds on the other front: an initiator does not open connections as it needs them.
 const STANDS: Micros = Micros(60_000_000);
 
 /// Initiator and ISID.
@@ -316,7 +317,7 @@
     let mut session = Session::new(front, answers);
     let replaced = session.replaced.1.clone();
     let begun = context.clock.now();
-    let seat = Seat::take(&context, STANDS);
+    let seat = Seat::take(&context, (STANDS, STANDS));
     let mut went_on = (0, 0, begun);
     wire.reason = loop {
         session.answer(&mut wire);
--- a/crates/lichenrudder/src/platform.rs
+++ b/crates/lichenrudder/src/platform.rs
@@ -1,7 +1,7 @@
 //! The platform's front: RESP2 commands of clients, turned into requests of the core and back.
 use crate::context::{Context, Count, Weight};
 use crate::module::{Mail, Ticket};
-use crate::seats::{room, Doing, Seat};
+use crate::seats::{room, Doing, Seat, SHORT};
 use crate::wire::{accept, Moved, Reason, Wire};
 use async_channel::Sender;
 use async_io::{Async, Timer};
@@ -384,13 +384,14 @@
     let mut wire = Wire::new(stream, "client", address, BOUNDS);
     let (answers, answered) = async_channel::bounded(PIPELINE);
     let mut answered = Box::pin(answered);
+    let idle = Micros((context.config().clients.idle_s * 1e6) as i64);
     let mut client = Client {
         beyond: context.clients.get() > context.client_bound(),
         answers,
         slots: VecDeque::new(),
         first: 0,
         closing: None,
-        seat: Seat::take(&context, Micros((context.config().clients.idle_s * 1e6) as i64)),
+        seat: Seat::take(&context, (idle, idle.min(SHORT))),
         rings: Weight::new(&context, |c| &c.rings),
         came: context.clock.now(),
         whole_by: None,
--- a/crates/lichenrudder/src/seats.rs
+++ b/crates/lichenrudder/src/seats.rs
@@ -10,8 +10,8 @@
 /// A connection on which nothing has come has nothing to lose; where connections are scarce it makes room after this
 /// time.
 const SILENT: i64 = 50_000;
-/// Where nearly none are left, one that stands between requests makes room after this time.
-const SHORT: i64 = 100_000;
+/// Where nearly none are left, a client that opens connections as it needs them makes room after this time.
+pub const SHORT: Micros = Micros(100_000);
 
 /// Connections are scarce from this part of their bound on.
 const SCARCE: usize = 3;
@@ -42,21 +42,21 @@
     /// Whether it was in use more than once.
     usual: Cell<bool>,
     since: Cell<Micros>,
-    /// How long it may stand idle even where places are scarce.
-    patience: i64,
+    /// How long it may stand idle where places are scarce, and where nearly none are left.
+    patience: (Micros, Micros),
     asked: Cell<bool>,
     ask: Sender<()>,
 }
 
 impl Seat {
-    /// Takes a place; `patience` is for how long it may stand idle even where places are scarce.
-    pub fn take(context: &Rc<Context>, patience: Micros) -> Seat {
+    /// Takes a place; `patience` is for how long it may stand idle where places are scarce, and nearly none left.
+    pub fn take(context: &Rc<Context>, patience: (Micros, Micros)) -> Seat {
         let (ask, asked) = async_channel::bounded(1);
         let entry = Rc::new(Entry {
             doing: Cell::new(Doing::Silent),
             usual: Cell::new(false),
             since: Cell::new(context.clock.now()),
-            patience: patience.0,
+            patience,
             asked: Cell::new(false),
             ask,
         });
@@ -99,7 +99,7 @@
         !e.asked.get()
             && match e.doing.get() {
                 Doing::Silent => stood >= SILENT,
-                Doing::Idle => stood >= if full { e.patience.min(SHORT) } else { e.patience },
+                Doing::Idle => stood >= if full { e.patience.1 .0 } else { e.patience.0 .0 },
                 Doing::Busy => false,
             }
     };
