Answer operators' calls: ready, figures, a box taken out by hand; keep settings when a file lost a key

At fault: no listener for operators anywhere; Config::reload, which never looked at keys that went missing.

Design: bans.rs masks what discovery lists, so that to the module a banned box drains; the module has no new rule. Rejected: an event of its own in the module, which would need the effects of a drain a second time. A ban is told as a cached list: told as a change it passed for a sign of discovery and called off the watch that was to be asked for (seen in the recorded exchange, which then hung). Bans are kept under TMPDIR for the process that follows. Figures come from where answers are handed out and commands written.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,9 +1,9 @@
 //! The one place where configuration is read, checked and given defaults: GW_* and GW_CONFIG (JSON) on the
 //! platform, an operator's TOML in a sidecar. Both have the same keys. A fault names its key.
-use oxbowhill::interface::{ListNews, Micros, NodeEntry, NodeId, NodeState, Settings, ShardId};
+use oxbowhill::interface::{Micros, NodeEntry, NodeId, NodeState, Settings, ShardId};
 use serde::Deserialize;
 use serde_json::Value;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::net::SocketAddr;
 
@@ -113,18 +113,6 @@
     pub targets: Vec<Target>,
 }
 
-impl Targets {
-    /// What the module is told of it.
-    pub fn news(&self) -> ListNews {
-        let entries = self.targets.iter().map(|t| t.entry.clone()).collect();
-        if self.whole {
-            ListNews::Full(entries)
-        } else {
-            ListNews::Delta(entries)
-        }
-    }
-}
-
 /// One LUN of the iSCSI front.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -229,8 +217,12 @@
     pub agent: Option<Listen>,
     /// HTTP health checks.
     pub health: Option<Listen>,
+    /// Where operators call.
+    pub admin: Option<SocketAddr>,
     /// The iSCSI front.
     pub iscsi: Option<Iscsi>,
+    /// The keys that a file of the platform had; a later one must have them too.
+    shape: Shape,
 }
 
 #[derive(Deserialize)]
@@ -256,9 +248,54 @@
     #[serde(default)]
     health: Option<Listen>,
     #[serde(default)]
+    admin: Option<SocketAddr>,
+    #[serde(default)]
     iscsi: Option<Iscsi>,
 }
 
+/// The keys of a file of the platform: of the whole, and of each object under its settings. What stands in a list
+/// counts as one place, with the keys that all of its entries have.
+#[derive(Clone, Debug, Default, PartialEq)]
+struct Shape(BTreeMap<String, BTreeSet<String>>);
+
+impl Shape {
+    /// Keys of the whole without which no front of the platform can serve.
+    const WHOLE: [&'static str; 5] = ["name", "listen", "discovery", "limits", "settings"];
+
+    fn of(value: &Value) -> Shape {
+        let mut shape = Shape::default();
+        if let Some(object) = value.as_object() {
+            let whole = object.keys().filter(|k| Self::WHOLE.contains(&k.as_str())).cloned();
+            shape.0.insert(String::new(), whole.collect());
+        }
+        if let Some(settings) = value.get("settings") {
+            shape.add("settings.", settings);
+        }
+        shape
+    }
+
+    fn add(&mut self, at: &str, value: &Value) {
+        match value {
+            Value::Object(object) => {
+                let keys: BTreeSet<String> = object.keys().cloned().collect();
+                let all = self.0.entry(at.to_string()).or_insert_with(|| keys.clone());
+                all.retain(|k| keys.contains(k));
+                object.iter().for_each(|(k, v)| self.add(&format!("{at}{k}."), v));
+            }
+            Value::Array(list) => list.iter().for_each(|v| self.add(at, v)),
+            _ => {}
+        }
+    }
+
+    /// The first key that `new` lacks. A list that has become empty lacks none.
+    fn missing_in(&self, new: &Shape) -> Option<String> {
+        self.0.iter().find_map(|(at, keys)| {
+            let there = new.0.get(at)?;
+            keys.iter().find(|k| !there.contains(*k)).map(|k| format!("{at}{k}"))
+        })
+    }
+}
+
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct TargetIn {
@@ -368,8 +405,10 @@
     };
     // The platform's file may grow keys, the operator's is checked to the letter.
     let mut value = value;
+    let mut shape = Shape::default();
     if !name.ends_with(".toml") {
-        const KEYS: [&str; 11] = [
+        shape = Shape::of(&value);
+        const KEYS: [&str; 12] = [
             "name",
             "listen",
             "discovery",
@@ -379,6 +418,7 @@
             "settings",
             "agent",
             "health",
+            "admin",
             "iscsi",
             "clients",
         ];
@@ -466,7 +506,9 @@
         idle: Micros((idle * 1e6) as i64),
         agent: file.agent,
         health: file.health,
+        admin: file.admin,
         iscsi: file.iscsi,
+        shape,
     })
 }
 
@@ -550,6 +592,7 @@
     };
     config.listen = address("GW_LISTEN")?.or(config.listen);
     config.discovery = address("GW_DISCOVERY")?.or(config.discovery);
+    config.admin = address("GW_ADMIN")?.or(config.admin);
     if config.listen.is_none() && config.iscsi.is_none() {
         return fault("GW_LISTEN", "is not set");
     }
@@ -602,6 +645,11 @@
     /// use keep their meaning. Discovery is the one that the file names, where it names another than before.
     pub fn reload(&self, var: impl Fn(&str) -> Option<String>) -> Result<(Config, Vec<&'static str>), Fault> {
         let mut new = from_env(|key| if key == "GW_DISCOVERY" { None } else { var(key) })?;
+        // Guards the settings in force against a file that was cut or lost a section: what has a default elsewhere, such
+        // as the rule on cold boxes, would be off.
+        if let Some(key) = self.shape.missing_in(&new.shape) {
+            return fault(key, "is missing, and the file before had it");
+        }
         if new.named == self.named || (new.named.is_none() && var("GW_DISCOVERY").is_some()) {
             new.discovery = self.discovery;
         }
@@ -632,11 +680,13 @@
             ("seed", new.seed == self.seed),
             ("agent", new.agent == self.agent),
             ("health", new.health == self.health),
+            ("admin", new.admin == self.admin),
             ("iscsi", new.iscsi == self.iscsi),
         ];
         let kept = checks.into_iter().filter(|(_, same)| !same).map(|(key, _)| key).collect();
         (new.name, new.listen, new.seed) = (self.name.clone(), self.listen, self.seed);
         (new.agent, new.health, new.iscsi) = (self.agent.clone(), self.health.clone(), self.iscsi.clone());
+        new.admin = self.admin;
         Ok((new, kept))
     }
 }
--- a/crates/config/tests/platform.rs
+++ b/crates/config/tests/platform.rs
@@ -44,3 +44,34 @@
     assert_eq!(config.idle, Micros(15_000_000), "the default");
     assert_eq!(fault.key, "GW_LISTEN");
 }
+
+/// A file that has lost a key changes nothing, also where a key has a default: the platform writes whole files.
+#[test]
+fn a_later_file_must_have_the_keys_of_the_one_before() {
+    let path = std::env::temp_dir().join(format!("lichenrudder-short-{}.json", std::process::id()));
+    let file = path.to_str().unwrap().to_string();
+    let env = move |key: &str| (key == "GW_CONFIG").then(|| file.clone());
+    std::fs::write(&path, FILE).unwrap();
+    let config = config::from_env(&env).unwrap();
+    let key_of = |from: &str, to: &str| {
+        assert!(FILE.contains(from));
+        std::fs::write(&path, FILE.replacen(from, to, 1)).unwrap();
+        config.reload(&env).err().map(|e| e.key)
+    };
+    assert_eq!(key_of("", ""), None);
+    assert_eq!(key_of("\"MaxAttempts\":3", "\"MaxAttempts\":4"), None);
+    assert_eq!(key_of("\"MostUnits\":6,", "").as_deref(), Some("settings (most_units)"));
+    assert_eq!(key_of("\"Zones\":[\"a\",\"b\"],", "").as_deref(), Some("settings.Zones"));
+    assert_eq!(key_of(",\"Writes\":[false]", "").as_deref(), Some("settings.FamilyInfo.Writes"));
+    assert_eq!(
+        key_of("\"limits\":{\"cores\":0.5,\"memory_mb\":24,\"sockets\":40,\"novelty\":2},", "").as_deref(),
+        Some("limits")
+    );
+    assert_eq!(key_of("\"MaxAttempts\":3", "\"MaxAttempts\":0").as_deref(), Some("settings (max_attempts)"));
+    assert_eq!(key_of("\"DeadlineS\":1.2", "\"DeadlineS\":0").as_deref(), Some("settings (classes)"));
+    std::fs::write(&path, "").unwrap();
+    assert!(config.reload(&env).is_err());
+    std::fs::write(&path, &FILE[..FILE.len() / 2]).unwrap();
+    assert!(config.reload(&env).is_err());
+    std::fs::remove_file(&path).unwrap();
+}
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -375,6 +375,16 @@
         }
     }
 
+    /// Requests that are not answered yet.
+    pub fn unanswered(&self) -> usize {
+        self.names.len()
+    }
+
+    /// Nodes that the module keeps from for now, though the list has them ready.
+    pub fn avoided(&self, now: Micros) -> Vec<NodeId> {
+        self.scheduler.avoided(now)
+    }
+
     /// Requests that are not answered yet, or have an attempt out.
     pub fn open(&self) -> usize {
         self.table.len()
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -61,6 +61,25 @@
     }
 }
 
+/// A part of a target with its `%` escapes resolved; what is no escape stays as it is.
+pub fn unescape(text: &str) -> String {
+    let digit = |b: Option<&u8>| b.and_then(|b| char::from(*b).to_digit(16));
+    let (bytes, mut out, mut at) = (text.as_bytes(), Vec::new(), 0);
+    while let Some(byte) = bytes.get(at) {
+        match (byte, digit(bytes.get(at + 1)), digit(bytes.get(at + 2))) {
+            (b'%', Some(high), Some(low)) => {
+                out.push((16 * high + low) as u8);
+                at += 3;
+            }
+            _ => {
+                out.push(*byte);
+                at += 1;
+            }
+        }
+    }
+    String::from_utf8_lossy(&out).into_owned()
+}
+
 /// Where a chunked body stands.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Chunks {
--- a/crates/lichenrudder/src/agent.rs
+++ b/crates/lichenrudder/src/agent.rs
@@ -1,4 +1,5 @@
-//! What balancers ask for: the agent check (a line on connecting, as HAProxy reads it) and HTTP health checks.
+//! What balancers ask for: the agent check (a line on connecting, as HAProxy reads it) and HTTP health checks; and
+//! the connections on which operators call.
 use crate::context::Context;
 use crate::wire::{accept, Moved, Reason, Wire};
 use async_io::{Async, Timer};
@@ -12,8 +13,10 @@
 pub enum Form {
     /// The agent check.
     Agent,
-    /// HTTP.
+    /// HTTP health checks.
     Http,
+    /// Operators' calls.
+    Operators,
 }
 
 /// Checks at once; what comes beyond is closed.
@@ -45,10 +48,13 @@
     format!("up {weight}%\n")
 }
 
-fn page(context: &Context, bytes: &[u8]) -> Option<Vec<u8>> {
+async fn page(context: &Rc<Context>, bytes: &[u8], form: Form) -> Option<Vec<u8>> {
     Some(match http::request_head(bytes) {
         Ok(None) => return None,
         Err(e) => http::answer(400, "Bad Request", e.0),
+        Ok(Some((method, target, _))) if matches!(form, Form::Operators) => {
+            crate::operators::answer(context, method, target).await
+        }
         Ok(Some((method, _, _))) if method != "GET" && method != "HEAD" => {
             http::answer(405, "Method Not Allowed", "GET or HEAD\n")
         }
@@ -79,6 +85,7 @@
     let kind = match form {
         Form::Agent => "agent",
         Form::Http => "health",
+        Form::Operators => "operator",
     };
     let mut wire = Wire::new(stream, kind, address, BOUNDS);
     if Rc::strong_count(&open) > MOST + 1 {
@@ -95,14 +102,13 @@
             match wire.next().await {
                 Some(Ok(Moved::Wrote)) if answered => return Reason::Done,
                 Some(Ok(Moved::Wrote)) => {}
-                Some(Ok(Moved::Read)) => match page(&context, wire.input.contiguous()) {
-                    _ if answered => wire.input.consume(usize::MAX),
-                    Some(answer) => {
+                Some(Ok(Moved::Read)) if answered => wire.input.consume(usize::MAX),
+                Some(Ok(Moved::Read)) => {
+                    if let Some(answer) = page(&context, wire.input.contiguous(), form).await {
                         wire.output.push(&answer);
                         answered = true;
                     }
-                    None => {}
-                },
+                }
                 Some(Ok(Moved::End)) if answered => {}
                 Some(Ok(Moved::End)) | None => return Reason::PeerClosed,
                 Some(Err(_)) => return Reason::Reset,
--- a/crates/lichenrudder/src/blocks.rs
+++ b/crates/lichenrudder/src/blocks.rs
@@ -73,7 +73,10 @@
         let moved = moved.await;
         // Guards bookings: the box has the command once its first PDU is written, whatever data it still asks
         // for, and may have begun to write. Only before that it is sure that nothing ran.
-        written |= begun && wire.output.is_empty();
+        let whole = begun && wire.output.is_empty();
+        if whole && !std::mem::replace(&mut written, whole) {
+            context.count_relayed();
+        }
         let maybe = |ending| if written { ending } else { Ending::ConnectFailed };
         let ending = match moved {
             Some(Ok(Moved::Wrote)) => continue,
--- a/crates/lichenrudder/src/context.rs
+++ b/crates/lichenrudder/src/context.rs
@@ -6,9 +6,10 @@
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use config::Config;
+use dispatch::Answer;
 use oxbowhill::interface::{Micros, NodeId, RequestId};
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
 
 /// The program's own descriptors: standard streams, polling, signals, listeners with their checks, discovery.
@@ -45,6 +46,18 @@
     pub serving: Cell<bool>,
     /// Requests in the core's table.
     pub open: Cell<usize>,
+    /// Requests that have no answer yet.
+    pub unanswered: Cell<usize>,
+    /// Answers by class: served, refused, failed.
+    pub answers: RefCell<Vec<[u64; 3]>>,
+    /// Attempts that were written whole.
+    pub relayed: Cell<u64>,
+    /// Files that were taken and turned down since the start.
+    pub reloads: Cell<(u64, u64)>,
+    /// Disk boxes that operators have taken out.
+    pub bans: RefCell<BTreeSet<NodeId>>,
+    /// Disk boxes that were listed lately, the oldest first.
+    pub listed: RefCell<(BTreeSet<NodeId>, VecDeque<NodeId>)>,
     /// The share of the last second's requests that were refused, in percent.
     pub refusing: Cell<u64>,
     next: Cell<u64>,
@@ -69,6 +82,12 @@
             arriving: Cell::new(0),
             serving: Cell::new(false),
             open: Cell::new(0),
+            unanswered: Cell::new(0),
+            answers: RefCell::default(),
+            relayed: Cell::new(0),
+            reloads: Cell::new((0, 0)),
+            bans: RefCell::default(),
+            listed: RefCell::default(),
             refusing: Cell::new(0),
             next: Cell::new(0),
         })
@@ -84,6 +103,25 @@
         self.config.replace(Rc::new(config));
     }
 
+    /// Counts a final answer of a class.
+    pub fn count_answer(&self, class: usize, answer: &Answer) {
+        let mut answers = self.answers.borrow_mut();
+        if answers.len() <= class {
+            answers.resize(class + 1, [0; 3]);
+        }
+        let which = match answer {
+            Answer::Served(_) => 0,
+            Answer::Refused(_) => 1,
+            Answer::Failed(_) => 2,
+        };
+        answers[class][which] += 1;
+    }
+
+    /// Counts an attempt that was written whole.
+    pub fn count_relayed(&self) {
+        self.relayed.set(self.relayed.get() + 1);
+    }
+
     /// A number for a request, never used again.
     pub fn number(&self) -> RequestId {
         self.next.set(self.next.get() + 1);
--- a/crates/lichenrudder/src/iscsi_front.rs
+++ b/crates/lichenrudder/src/iscsi_front.rs
@@ -189,8 +189,8 @@
             }
             Event::Read { tag, lun, lba, blocks } => {
                 let id = self.front.context.number();
-                let ticket = self.begin(Work { tag, write: false, read: Some(id), key: None });
                 let request = request(&self.front, lun, lba, blocks, None);
+                let ticket = self.begin(Work { tag, write: false, read: Some(id), key: None }, &request);
                 self.hand_over(ticket, request, |front, request, ticket| {
                     front.context.module.try_send(Mail::Take(id, request, ticket)).is_ok()
                 });
@@ -200,9 +200,10 @@
                 let mut digest = DefaultHasher::new();
                 (lun, lba, &data).hash(&mut digest);
                 let key = (initiator, isid, tag, digest.finish());
-                let ticket = self.begin(Work { tag, write: true, read: None, key: Some(key.clone()) });
                 let blocks = (data.len() / iscsi::BLOCK) as u32;
                 let request = request(&self.front, lun, lba, blocks, Some(Bytes::from(data)));
+                let work = Work { tag, write: true, read: None, key: Some(key.clone()) };
+                let ticket = self.begin(work, &request);
                 self.hand_over(ticket, request, |front, request, ticket| {
                     front.record.try_send(Note::Begin(key, request, ticket)).is_ok()
                 });
@@ -225,11 +226,12 @@
         }
     }
 
-    fn begin(&mut self, work: Work) -> Ticket {
+    fn begin(&mut self, work: Work, request: &Option<Request>) -> Ticket {
+        let class = request.as_ref().map_or(0, |r| r.class);
         let slot = self.next;
         self.next += 1;
         self.works.insert(slot, work);
-        Ticket { slot, to: self.answers.clone() }
+        Ticket { slot, to: self.answers.clone(), class }
     }
 
     /// Hands a request over; where that can't be done it did not run, and has its answer at once.
--- a/crates/lichenrudder/src/list.rs
+++ b/crates/lichenrudder/src/list.rs
@@ -1,4 +1,5 @@
 //! The list's actor: one watch at discovery, resumed from the last version. The module paces its calls.
+use crate::bans;
 use crate::context::Context;
 use crate::module::Mail;
 use crate::peer;
@@ -147,7 +148,7 @@
                     version.set(news.generation);
                     // Peers first: what the module has started and they have not must know of a drain.
                     peer::update(context, &news.targets, news.whole);
-                    let _ = context.module.send(Mail::News(news.news())).await;
+                    let _ = context.module.send(Mail::News(bans::news(context, &news))).await;
                     context.serving.set(true);
                 }
                 Err(e) => {
--- a/crates/lichenrudder/src/main.rs
+++ b/crates/lichenrudder/src/main.rs
@@ -1,5 +1,6 @@
 //! lichenrudder: a front on real sockets round the decision module `oxbowhill`.
 mod agent;
+mod bans;
 mod blocks;
 mod clock;
 mod context;
@@ -7,6 +8,7 @@
 mod list;
 mod log;
 mod module;
+mod operators;
 mod peer;
 mod platform;
 mod record;
@@ -89,6 +91,8 @@
         Ok(read) => read,
         Err(e) => {
             crate::log::line(format_args!("reload error={e}"));
+            let (accepted, invalid) = context.reloads.get();
+            context.reloads.set((accepted, invalid + 1));
             return drop(context.module.send(Mail::Reload(None)).await);
         }
     };
@@ -101,9 +105,11 @@
     let (moved, fixed) = (new.discovery != old.discovery, new.discovery.is_none());
     let known = new.known.clone();
     context.configure(new);
+    let (accepted, invalid) = context.reloads.get();
+    context.reloads.set((accepted + 1, invalid));
     if fixed {
         peer::update(context, &known.targets, true);
-        let _ = context.module.send(Mail::News(known.news())).await;
+        let _ = context.module.send(Mail::News(bans::news(context, &known))).await;
         context.serving.set(context.serving.get() || !known.targets.is_empty());
     }
     if moved {
@@ -118,8 +124,9 @@
         Signals::new([Signal::Term, Signal::Int, Signal::Usr1, Signal::Hup]).map_err(|e| e.to_string())?;
     let (ask, asked) = async_channel::bounded(4);
     let watch = ask.clone();
+    bans::load(&context);
     peer::update(&context, &config.known.targets, true);
-    let known = config.known.news();
+    let known = bans::news(&context, &config.known);
     if let oxbowhill::interface::ListNews::Full(entries) = known {
         let _ = context.module.send(Mail::News(oxbowhill::interface::ListNews::Cached(entries))).await;
     }
@@ -143,6 +150,10 @@
             context.executor.spawn(agent::listen(context.clone(), listener, form)).detach();
         }
     }
+    if let Some(at) = config.admin {
+        let listener = bind("admin", at)?;
+        context.executor.spawn(agent::listen(context.clone(), listener, agent::Form::Operators)).detach();
+    }
     while let Some(signal) = signals.next().await {
         match signal {
             Ok(Signal::Usr1) => drop(context.module.send(Mail::Print).await),
--- a/crates/lichenrudder/src/module.rs
+++ b/crates/lichenrudder/src/module.rs
@@ -6,7 +6,7 @@
 use async_io::Timer;
 use dispatch::{Answer, Bound, Core, Counters, Effect, Ended, Request};
 use futures_lite::{future, StreamExt};
-use oxbowhill::interface::{Ending, ListNews, RequestId, Settings, SettingsError};
+use oxbowhill::interface::{Ending, ListNews, NodeId, RequestId, Settings, SettingsError};
 use std::rc::Rc;
 
 /// Where an answer goes: a front's connection, and the place in it.
@@ -16,6 +16,8 @@
     pub slot: u64,
     /// The connection's mailbox.
     pub to: Sender<(u64, Answer)>,
+    /// The request's class.
+    pub class: usize,
 }
 
 /// The module's mail.
@@ -30,6 +32,8 @@
     News(ListNews),
     /// The file was read again: its settings, or none where it was faulty.
     Reload(Option<Box<Settings>>),
+    /// Which disk boxes does the module keep from for now?
+    Avoided(Sender<Vec<NodeId>>),
     /// Print the counters.
     Print,
 }
@@ -77,6 +81,7 @@
                 Mail::Ended(ended) => core.ended(now, ended),
                 Mail::News(news) => core.news(now, news),
                 Mail::Reload(None) => core.counters.reload_faults += 1,
+                Mail::Avoided(to) => drop(to.try_send(core.avoided(now))),
                 Mail::Reload(Some(settings)) => {
                     if let Err(e) = core.reload(now, *settings, bound(&context)) {
                         crate::log::line(format_args!("reload error={e}"));
@@ -96,6 +101,7 @@
         }
         carry_out(&context, &mut core, &watch);
         context.open.set(core.open());
+        context.unanswered.set(core.unanswered());
         if now.0 - second.0 >= 1_000_000 {
             let taken = core.counters.taken - before.taken;
             let refused = core.counters.refused + core.counters.bounded - before.refused - before.bounded;
@@ -125,7 +131,10 @@
                 }
             }
             // The connection's mailbox has room for every answer that it is owed; a closed one has gone.
-            Effect::Answer(ticket, answer) => drop(ticket.to.try_send((ticket.slot, answer))),
+            Effect::Answer(ticket, answer) => {
+                context.count_answer(ticket.class, &answer);
+                drop(ticket.to.try_send((ticket.slot, answer)));
+            }
             Effect::Watch => drop(watch.try_send(Ask::Watch)),
         }
     }
--- /dev/null
+++ b/crates/lichenrudder/src/operators.rs
@@ -0,0 +1,81 @@
+//! Where operators call, over HTTP/1.1 with one call to a connection: whether this process is ready, its figures,
+//! and taking a disk box out or putting it back.
+use crate::bans;
+use crate::context::Context;
+use crate::module::Mail;
+use async_io::Timer;
+use futures_lite::future;
+use std::fmt::Write;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// A caller waits for 1 s; the module is asked for less.
+const ASKED: Duration = Duration::from_millis(300);
+const FOLDER: &str = "/v1/chunk-servers/";
+
+/// The answer to one call.
+pub async fn answer(context: &Rc<Context>, method: &str, target: &str) -> Vec<u8> {
+    let target = target.split('?').next().unwrap_or_default();
+    let call = target.strip_prefix(FOLDER).and_then(|rest| rest.rsplit_once('/'));
+    match (method, target, call) {
+        ("GET", "/v1/readyz", _) if ready(context) => http::answer(200, "OK", "ready\n"),
+        ("GET", "/v1/readyz", _) => http::answer(503, "Service Unavailable", "not ready\n"),
+        ("GET", "/v1/metrics", _) => http::answer(200, "OK", &figures(context).await),
+        ("POST", _, Some((id, what @ ("suspend" | "resume")))) => {
+            match bans::set(context, &http::unescape(id), what == "suspend").await {
+                true => http::answer(200, "OK", "done\n"),
+                false => http::answer(404, "Not Found", "no such chunk server was listed\n"),
+            }
+        }
+        (_, "/v1/readyz" | "/v1/metrics", _) | (_, _, Some((_, "suspend" | "resume"))) => {
+            http::answer(405, "Method Not Allowed", "GET the state, POST what changes it\n")
+        }
+        _ => http::answer(
+            404,
+            "Not Found",
+            "/v1/readyz, /v1/metrics, or /v1/chunk-servers/ID/suspend and /resume\n",
+        ),
+    }
+}
+
+/// Whether this process serves: it knows the boxes, and is not about to end.
+fn ready(context: &Context) -> bool {
+    context.serving.get() && context.stopping.get().is_none()
+}
+
+/// The figures, one on a line.
+async fn figures(context: &Rc<Context>) -> String {
+    let (to, from) = async_channel::bounded(1);
+    let _ = context.module.send(Mail::Avoided(to)).await;
+    let late = async {
+        Timer::after(ASKED).await;
+        vec![]
+    };
+    let mut away = future::or(async { from.recv().await.unwrap_or_default() }, late).await;
+    let mut out = String::new();
+    let config = context.config();
+    let answers = context.answers.borrow();
+    for (i, class) in config.classes.iter().enumerate() {
+        let [served, refused, failed] = answers.get(i).copied().unwrap_or_default();
+        for (what, count) in [("fulfilled", served), ("throttled", refused), ("faulted", failed)] {
+            let _ = writeln!(out, "app.operations.{}.{what}={count}", class.name);
+        }
+    }
+    let peers = context.peers.borrow();
+    away.extend(context.bans.borrow().iter().cloned());
+    away.sort();
+    away.dedup();
+    away.retain(|node| peers.contains_key(node));
+    let (accepted, invalid) = context.reloads.get();
+    for (what, count) in [
+        ("relayed", context.relayed.get()),
+        ("open_requests", context.unanswered.get() as u64),
+        ("registry_entries", peers.len() as u64),
+        ("out_of_rotation", away.len() as u64),
+        ("cfg_accepted", accepted),
+        ("cfg_invalid", invalid),
+    ] {
+        let _ = writeln!(out, "app.{what}={count}");
+    }
+    out
+}
--- a/crates/lichenrudder/src/peer.rs
+++ b/crates/lichenrudder/src/peer.rs
@@ -1,4 +1,5 @@
 //! The actor of one disk box: it carries out attempts, each alone on a connection, and keeps idle connections.
+use crate::bans;
 use crate::blocks;
 use crate::context::{Context, Count, Weight};
 use crate::module::Mail;
@@ -9,7 +10,7 @@
 use dispatch::{Attempt, Bytes, Ended};
 use futures_lite::{future, StreamExt};
 use iscsi::initiator::Initiator;
-use oxbowhill::interface::{Ending, Micros, NodeId, NodeState};
+use oxbowhill::interface::{Ending, Micros, NodeEntry, NodeId, NodeState};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -34,6 +35,8 @@
 
 /// What the list says of the disk box; read by attempts that are still waiting for a connection.
 pub struct Place {
+    /// Its entry on the list.
+    pub entry: RefCell<NodeEntry>,
     /// Where it listens.
     pub address: Cell<Option<SocketAddr>>,
     /// Whether it has been told to be draining or gone.
@@ -108,6 +111,7 @@
         let peer = peers.entry(entry.node.clone()).or_insert_with(|| {
             let (mail, inbox) = async_channel::bounded(MAILBOX);
             let place = Rc::new(Place {
+                entry: RefCell::new(entry.clone()),
                 address: Cell::new(None),
                 closed: Cell::new(false),
                 started: Cell::new(entry.started),
@@ -124,9 +128,10 @@
         if place.started.replace(entry.started) < entry.started || place.address.get() != target.address {
             place.life.set(place.life.get() + 1);
         }
+        place.entry.replace(entry.clone());
         place.speaks.set(target.speaks);
         place.address.set(target.address);
-        place.closed.set(entry.state != NodeState::Ready);
+        place.closed.set(bans::seen(context, entry.clone()).state != NodeState::Ready);
         drop(peer.mail.try_send(PeerMail::Changed));
     }
 }
@@ -367,7 +372,10 @@
         let room =
             wire.input.room() > 0 && (wire.input.memory() <= resp::LONGEST || !context.arriving_full());
         let ending = match moved {
-            Some(Ok(Moved::Wrote)) => continue,
+            Some(Ok(Moved::Wrote)) => {
+                context.count_relayed();
+                continue;
+            }
             Some(Ok(Moved::Read)) => match resp::reply(wire.input.contiguous(), context.longest_value()) {
                 Ok(None) if room => continue,
                 Ok(Some((reply, used))) => {
--- a/crates/lichenrudder/src/platform.rs
+++ b/crates/lichenrudder/src/platform.rs
@@ -271,6 +271,13 @@
         false
     }
 
+    /// Refuses a request that the module is not told of.
+    fn refuse(&mut self, class: usize) {
+        let answer = Answer::Refused(None);
+        self.context.count_answer(class, &answer);
+        self.push(None, Some(worded(answer)));
+    }
+
     /// How long a command may take to be whole, and how long answers may wait unread.
     fn limits(&self) -> (i64, i64) {
         let clients = self.context.config().clients;
@@ -301,14 +308,14 @@
     fn take(&mut self, asked: Asked) {
         match asked {
             Asked::Now(reply) => self.push(None, Some(Reply::text(reply))),
-            Asked::Request(_) if self.beyond => self.push(None, Some(worded(Answer::Refused(None)))),
+            Asked::Request(request) if self.beyond => self.refuse(request.class),
             Asked::Request(request) => {
-                let id = self.context.number();
+                let (id, class) = (self.context.number(), request.class);
                 let slot = self.first + self.slots.len() as u64;
-                let ticket = Ticket { slot, to: self.answers.clone() };
+                let ticket = Ticket { slot, to: self.answers.clone(), class };
                 match self.context.module.try_send(Mail::Take(id, request, ticket)) {
                     Ok(()) => self.push(Some(id), None),
-                    Err(_) => self.push(None, Some(worded(Answer::Refused(None)))),
+                    Err(_) => self.refuse(class),
                 }
             }
         }
--- a/crates/lichenrudder/src/record.rs
+++ b/crates/lichenrudder/src/record.rs
@@ -142,7 +142,8 @@
         match future::or(future::or(answer, note), second).await {
             Woken::Note(Some(Note::Begin(key, request, ticket))) => {
                 if let Next::Run(number) = record.begin(key, ticket) {
-                    let mail = Mail::Take(context.number(), request, Ticket { slot: number, to: to.clone() });
+                    let ticket = Ticket { slot: number, to: to.clone(), class: request.class };
+                    let mail = Mail::Take(context.number(), request, ticket);
                     if context.module.try_send(mail).is_err() {
                         record.answered(context.clock.now(), number, Answer::Refused(None));
                     }
@@ -167,7 +168,7 @@
 
     fn ticket(slot: u64) -> (Ticket, Receiver<(u64, Answer)>) {
         let (to, from) = async_channel::bounded(4);
-        (Ticket { slot, to }, from)
+        (Ticket { slot, to, class: 0 }, from)
     }
 
     #[test]
--- a/crates/lichenrudder/tests/common/mod.rs
+++ b/crates/lichenrudder/tests/common/mod.rs
@@ -212,7 +212,7 @@
 /// `PORT unvisited` (nobody has connected since),  `wait MS`,
 /// `signal NAME`, `exits CODE`, or `set FROM => TO` for the configuration, `rewrite FROM => TO` for the file of
 /// the program that runs. A party is opened when it is first
-/// named: `client`, `initiator`, `agent` and `health` connect; `box0`, `box1` and `discovery` accept. What
+/// named: `client`, `initiator`, `agent`, `health` and `operator` connect; `box0`, `box1` and `discovery` accept. What
 /// follows a dash tells several of a kind apart.
 pub fn play(name: &str, text: &str) {
     let ip = address();
@@ -275,6 +275,7 @@
                         "client" => program.connect(6379),
                         "agent" => program.connect(6380),
                         "health" => program.connect(6381),
+                        "operator" => program.connect(6382),
                         "initiator" => program.connect(3260),
                         _ => accept(&listeners[kind], &place),
                     };
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -309,6 +309,12 @@
         (self.names.len(), self.volumes.len())
     }
 
+    /// Nodes that are listed as ready and get nothing for now, because they failed.
+    pub fn avoided(&self, now: Micros) -> Vec<NodeId> {
+        let away = |n: &&Node| n.entry.state == NodeState::Ready && n.not_before > now;
+        self.nodes.iter().filter(away).map(|n| n.entry.node.clone()).collect()
+    }
+
     fn settle(&mut self, settings: Settings) {
         let aims = settings.classes.iter().map(|c| c.aim.0 as f64);
         self.shortest_aim = aims.fold(f64::INFINITY, f64::min);
@@ -434,8 +440,7 @@
     }
 
     /// Forgets nodes that have left, once nothing is out there and the budget of a cold node holds nothing
-    /// any
-    /// more. One that returns is new, and counts as cold. Guards memory where every node is replaced.
+    /// any more. One that returns is new, and counts as cold. Guards memory where every node is replaced.
     fn forget_nodes(&mut self) {
         let (now, window, nodes) = (self.now, self.set.cold.window.0 as f64, &mut self.nodes);
         self.names.retain(|_, n| {
@@ -452,8 +457,7 @@
     }
 
     /// Forgets volumes whose state is that of one never seen: nothing held or out, and full stores. Guards
-    /// memory
-    /// where every volume is new; a limit is not refilled by it, since it is full already.
+    /// memory where every volume is new; a limit is not refilled by it, since it is full already.
     fn forget_volumes(&mut self) {
         self.unserved = self.unserved.split_off(&(self.now, 0, None, Micros(0)));
         self.shards.values_mut().for_each(|s| s.queues.retain(|_, q| !q.held.is_empty()));
