Let a second process of a front take over: shared listening, halved limits, bans that go over

Ruled out by reading: nothing else of the start fails (known list, seed and second address were read). At fault: main.rs bind(), which listens alone; and nothing by which two processes of a front would know of each other.

Design: each process holds a locked file under TMPDIR and looks for the other's every 50 ms (handover.rs). While both live each takes half of every limit's rate, of what cold boxes bear, and of the memory, and the descriptors that the other does not hold. The second listens only once discovery was heard. At SIGTERM the first takes in all that wait to be accepted, closes its listener and, between requests, its connections. Rejected: passing the listener over a Unix socket (no connection could fall between the two, but a path under TMPDIR may be too long for one, and the first process would have to answer before the second can start). Without TMPDIR a second start fails as before, and so does one beside a front with iSCSI, whose record of writes does not go over.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -293,7 +293,6 @@
     pub fn reload(&mut self, now: Micros, settings: Settings, bound: Bound) -> Result<(), SettingsError> {
         self.scheduler.reload(now, settings)?;
         self.bound = bound;
-        self.counters.reloads += 1;
         Ok(())
     }
 
--- a/crates/lichenrudder/src/agent.rs
+++ b/crates/lichenrudder/src/agent.rs
@@ -32,7 +32,7 @@
         let check = check(context.clone(), stream, address, form, open.clone());
         context.executor.spawn(check).detach();
     };
-    accept(listener, || true, async || {}, take).await;
+    accept(listener, || true, async || {}, take, async || future::pending().await).await;
 }
 
 /// The agent's line: whether to send here, and how much, by how full the table is and how much is refused.
--- a/crates/lichenrudder/src/bans.rs
+++ b/crates/lichenrudder/src/bans.rs
@@ -2,25 +2,15 @@
 //! call that puts it back. What is banned is kept in a file under `TMPDIR`, so that it holds for the process that
 //! follows; where there is none, a ban ends with the process.
 use crate::context::Context;
+use crate::handover::path;
 use crate::module::Mail;
 use config::Targets;
 use oxbowhill::interface::{ListNews, NodeEntry, NodeId, NodeState};
-use std::path::PathBuf;
 use std::rc::Rc;
 
 /// So many boxes are remembered as listed; with each box replaced by another, older ones are forgotten.
 const LISTED: usize = 4096;
 
-/// Where this front keeps something for the process that follows it; none without `TMPDIR`.
-pub fn path(context: &Context, what: &str) -> Option<PathBuf> {
-    let folder = std::env::var_os("TMPDIR").filter(|f| !f.is_empty())?;
-    let config = context.config();
-    let at = config.listen.or(config.iscsi.as_ref().map(|i| i.listen)).map(|a| a.to_string());
-    let name = format!("{}-{}", config.name, at.unwrap_or_default());
-    let name: String = name.chars().map(|c| if c.is_ascii_alphanumeric() { c } else { '_' }).collect();
-    Some(PathBuf::from(folder).join(format!("lichenrudder-{name}.{what}")))
-}
-
 /// Reads what an earlier process of this front had banned; tells whether it is something else than is held.
 pub fn load(context: &Context) -> bool {
     let read = path(context, "bans").and_then(|p| std::fs::read_to_string(p).ok());
--- a/crates/lichenrudder/src/context.rs
+++ b/crates/lichenrudder/src/context.rs
@@ -1,5 +1,6 @@
 //! What the actors share: the executor, the clock, mailboxes, and counts of what is open.
 use crate::clock::Clock;
+use crate::handover::{self, Other};
 use crate::module::Mail;
 use crate::peer::Peer;
 use crate::seats;
@@ -58,6 +59,12 @@
     pub bans: RefCell<BTreeSet<NodeId>>,
     /// Disk boxes that were listed lately, the oldest first.
     pub listed: RefCell<(BTreeSet<NodeId>, VecDeque<NodeId>)>,
+    /// The other process of this front, while one lives.
+    pub other: Cell<Other>,
+    /// Whether clients are listened to.
+    pub listening: Cell<bool>,
+    /// Whether discovery was heard since the start.
+    pub heard: Cell<bool>,
     /// The share of the last second's requests that were refused, in percent.
     pub refusing: Cell<u64>,
     next: Cell<u64>,
@@ -88,6 +95,9 @@
             reloads: Cell::new((0, 0)),
             bans: RefCell::default(),
             listed: RefCell::default(),
+            other: Cell::new(Other::None),
+            listening: Cell::new(false),
+            heard: Cell::new(false),
             refusing: Cell::new(0),
             next: Cell::new(0),
         })
@@ -141,9 +151,21 @@
         (longest.min(3_000_000) - 600_000).max(500_000)
     }
 
-    /// Whether the program ends and connections are to be closed between requests.
+    /// Whether the program ends and connections are to be closed between requests: at once where another process
+    /// serves their clients.
     pub fn lingered(&self) -> bool {
-        self.stopping.get().is_some_and(|at| self.clock.now().0 >= at.0 + self.linger())
+        let linger = if self.followed() { 0 } else { self.linger() };
+        self.stopping.get().is_some_and(|at| self.clock.now().0 >= at.0 + linger)
+    }
+
+    /// Whether another process has come that takes over.
+    pub fn followed(&self) -> bool {
+        matches!(self.other.get(), Other::After(_))
+    }
+
+    /// Descriptors that are held.
+    pub fn held(&self) -> usize {
+        OWN + self.clients.get() + self.upstream.get()
     }
 
     /// When the program ends: by when everything must be answered.
@@ -153,7 +175,17 @@
 
     /// Descriptors that may be held in all.
     fn descriptors(&self) -> usize {
-        self.config.borrow().limits.sockets.min(1024)
+        handover::descriptors(self.other.get(), self.config.borrow().limits.sockets.min(1024))
+    }
+
+    /// Memory that counts, in bytes; a half while there are two processes.
+    pub fn memory(&self) -> usize {
+        let all = self.config.borrow().limits.memory_mb.min(192) as usize * 1024 * 1024;
+        if self.other.get() == Other::None {
+            all
+        } else {
+            all / 2
+        }
     }
 
     /// Descriptors for clients: two fifths of what may be held, and no more than half of what is left beside
@@ -175,7 +207,7 @@
 
     /// The bytes of answers that may wait for their clients: an eighth of the memory.
     pub fn unsent_bound(&self) -> usize {
-        self.config.borrow().limits.memory_mb.min(192) as usize * 1024 * 1024 / 8
+        self.memory() / 8
     }
 
     /// The memory that clients' rings may take together beyond what each has in any case: an eighth.
--- /dev/null
+++ b/crates/lichenrudder/src/handover.rs
@@ -0,0 +1,139 @@
+//! Two processes of one front, the one that serves and the one that follows it. Each holds a lock on a file of its own
+//! under `TMPDIR` and looks for the other's: a file whose lock can be had is one of a process that has ended. While both
+//! live they share the machine, the limits of volumes and what cold boxes bear: each counts on a half of these, and on
+//! the descriptors that the other does not hold. What operators have banned goes over in a file too.
+use crate::bans;
+use crate::context::Context;
+use crate::module::Mail;
+use async_io::Timer;
+use oxbowhill::interface::Settings;
+use std::fs::{File, OpenOptions, TryLockError};
+use std::io::{Seek, Write};
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// How often it looks for the other. Until it has seen it, it sends what limits allow a whole front; the rule's slack
+/// is what they allow in 150 ms.
+const LOOK: Duration = Duration::from_millis(50);
+/// Descriptors that neither counts on, for those that both open between two looks.
+const MARGIN: usize = 16;
+
+/// The other process.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Other {
+    /// There is none.
+    #[default]
+    None,
+    /// It came before this one and still serves.
+    Before(usize),
+    /// It came after this one; the number of descriptors that it holds.
+    After(usize),
+}
+
+/// Where this front keeps what the process that follows is to find; none without `TMPDIR`.
+pub fn path(context: &Context, what: &str) -> Option<PathBuf> {
+    let folder = std::env::var_os("TMPDIR").filter(|f| !f.is_empty())?;
+    let config = context.config();
+    let at = config.listen.or(config.iscsi.as_ref().map(|i| i.listen)).map(|a| a.to_string());
+    let name = format!("{}-{}", config.name, at.unwrap_or_default());
+    let name: String = name.chars().map(|c| if c.is_ascii_alphanumeric() { c } else { '_' }).collect();
+    Some(PathBuf::from(folder).join(format!("lichenrudder-{name}.{what}")))
+}
+
+/// This process's own file.
+pub struct Claim {
+    file: File,
+    path: PathBuf,
+}
+
+impl Claim {
+    /// Makes the file, named after the time so that later ones come later in order, and locks it.
+    pub fn make(context: &Context) -> Option<Claim> {
+        let path = path(context, &format!("{:020}.live", context.clock.now().0))?;
+        // Locked before it has its name: one that looks meanwhile would take it for what a dead process left.
+        let half = path.with_extension("made");
+        let made = OpenOptions::new().create_new(true).write(true).open(&half);
+        let locked = made.and_then(|file| file.try_lock().map(|()| file).map_err(Into::into));
+        match locked.and_then(|file| std::fs::rename(&half, &path).map(|()| file)) {
+            Ok(file) => Some(Claim { file, path }),
+            Err(e) => {
+                crate::log::line(format_args!("handover error={}: {e}", path.display()));
+                None
+            }
+        }
+    }
+
+    /// The other process, where one lives.
+    pub fn look(&self) -> Other {
+        let front =
+            |p: &Path| Some(p.file_name()?.to_str()?.rsplit_once('.')?.0.rsplit_once('.')?.0.to_string());
+        let (Some(folder), Some(own)) = (self.path.parent(), front(&self.path)) else { return Other::None };
+        let mut found = Other::None;
+        for entry in std::fs::read_dir(folder).into_iter().flatten().flatten() {
+            let path = entry.path();
+            let live = path.extension().is_some_and(|e| e == "live");
+            if !live || path == self.path || front(&path).as_ref() != Some(&own) {
+                continue;
+            }
+            match File::open(&path).map(|file| file.try_lock()) {
+                // Guards against what a killed process has left.
+                Ok(Ok(())) => drop(std::fs::remove_file(&path)),
+                Ok(Err(TryLockError::WouldBlock)) => {
+                    let held = std::fs::read_to_string(&path).ok().and_then(|t| t.trim().parse().ok());
+                    let held = held.unwrap_or(0);
+                    found = if path > self.path { Other::After(held) } else { Other::Before(held) };
+                }
+                _ => {}
+            }
+        }
+        found
+    }
+
+    /// Tells the other how many descriptors this process holds.
+    fn tell(&mut self, held: usize) {
+        let _ = self.file.rewind().and_then(|()| self.file.write_all(format!("{held:8}\n").as_bytes()));
+    }
+}
+
+impl Drop for Claim {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.path);
+    }
+}
+
+/// Looks for the other process until this one ends, and puts in force what follows from it.
+pub async fn run(context: Rc<Context>, mut claim: Claim) {
+    loop {
+        claim.tell(context.held());
+        Timer::after(LOOK).await;
+        let (before, now) = (context.other.replace(claim.look()), context.other.get());
+        if std::mem::discriminant(&before) != std::mem::discriminant(&now) {
+            crate::log::line(format_args!("handover other={now:?}"));
+            let _ = context.module.send(Mail::Share).await;
+        }
+        // The calls of operators may reach either; a ban must hold for both.
+        if now != Other::None && bans::load(&context) {
+            bans::apply(&context).await;
+        }
+    }
+}
+
+/// The settings as they count for this process.
+pub fn part(context: &Context, settings: &Settings) -> Settings {
+    let mut settings = settings.clone();
+    // Guards the rules on limits and on cold boxes, which hold for both together.
+    if context.other.get() != Other::None {
+        settings.plans.iter_mut().for_each(|plan| plan.limit_rate /= 2.0);
+        settings.cold.units /= 2.0;
+    }
+    settings
+}
+
+/// Of so many descriptors, those that this process may hold: what the other does not, and a quarter at least.
+pub fn descriptors(other: Other, all: usize) -> usize {
+    match other {
+        Other::None => all,
+        Other::Before(held) | Other::After(held) => all.saturating_sub(held + MARGIN).max(all / 4),
+    }
+}
--- a/crates/lichenrudder/src/iscsi_front.rs
+++ b/crates/lichenrudder/src/iscsi_front.rs
@@ -60,7 +60,7 @@
     let front = Rc::new(front);
     let take = |stream, address| context.executor.spawn(session(front.clone(), stream, address)).detach();
     let may = || context.clients.get() < context.client_bound();
-    accept(listener, may, async || room(&context).await, take).await;
+    accept(listener, may, async || room(&context).await, take, async || future::pending().await).await;
 }
 
 /// A read or write that is on its way.
--- a/crates/lichenrudder/src/list.rs
+++ b/crates/lichenrudder/src/list.rs
@@ -136,6 +136,7 @@
             start += end + 1;
             if line.iter().all(u8::is_ascii_whitespace) {
                 // Guards discovery: a watch with nothing to tell is up all the same, and not to be asked for again.
+                context.heard.set(true);
                 if !std::mem::replace(&mut told, true) {
                     let _ = context.module.send(Mail::News(ListNews::Delta(vec![]))).await;
                 }
@@ -150,6 +151,7 @@
                     peer::update(context, &news.targets, news.whole);
                     let _ = context.module.send(Mail::News(bans::news(context, &news))).await;
                     context.serving.set(true);
+                    context.heard.set(true);
                 }
                 Err(e) => {
                     crate::log::line(format_args!("list error={e}"));
--- a/crates/lichenrudder/src/main.rs
+++ b/crates/lichenrudder/src/main.rs
@@ -4,6 +4,7 @@
 mod blocks;
 mod clock;
 mod context;
+mod handover;
 mod iscsi_front;
 mod list;
 mod log;
@@ -19,7 +20,9 @@
 use async_signal::{Signal, Signals};
 use context::Context;
 use futures_lite::StreamExt;
+use handover::Other;
 use module::Mail;
+use rustix::net::{self, sockopt, AddressFamily, SocketFlags, SocketType};
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener};
 use std::process::ExitCode;
@@ -30,6 +33,10 @@
 const ACCEPTING: i64 = 800_000;
 /// A request that crossed the closing of its connection is sent again on a new one, which comes in this time.
 const CROSSING: i64 = 300_000;
+/// A process that follows another waits so long for fresh news of discovery before it serves.
+const FRESH: i64 = 3_000_000;
+/// Connections that may wait to be accepted.
+const BACKLOG: i32 = 1024;
 /// After SIGTERM nothing that was asked in time is owed for longer than this.
 const LONGEST: i64 = 6_000_000;
 
@@ -76,6 +83,20 @@
     Async::<TcpListener>::bind(address).map_err(|e| format!("{key}: cannot listen on {address}: {e}"))
 }
 
+/// Listens where another process of this front may listen too.
+fn bind_beside(key: &str, address: SocketAddr) -> Result<Async<TcpListener>, String> {
+    let listen = || -> std::io::Result<Async<TcpListener>> {
+        let family = if address.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
+        let socket = net::socket_with(family, SocketType::STREAM, SocketFlags::CLOEXEC, None)?;
+        sockopt::set_socket_reuseaddr(&socket, true)?;
+        sockopt::set_socket_reuseport(&socket, true)?;
+        net::bind(&socket, &address)?;
+        net::listen(&socket, BACKLOG)?;
+        Async::new(TcpListener::from(socket))
+    };
+    listen().map_err(|e| format!("{key}: cannot listen on {address}: {e}"))
+}
+
 fn start() -> Result<(), String> {
     let config = config::from_env(|key| std::env::var(key).ok()).map_err(|e| e.to_string())?;
     let (mail, inbox) = async_channel::bounded(module::MAILBOX);
@@ -119,7 +140,13 @@
 
 async fn serve(context: Rc<Context>, inbox: async_channel::Receiver<Mail>) -> Result<(), String> {
     let config = context.config();
-    let listener = config.listen.map(|a| bind("GW_LISTEN", a)).transpose()?;
+    let claim = handover::Claim::make(&context);
+    context.other.set(claim.as_ref().map_or(Other::None, handover::Claim::look));
+    let follows = context.other.get() != Other::None;
+    let listen = if claim.is_some() { bind_beside } else { bind };
+    if let Some(claim) = claim {
+        context.executor.spawn(handover::run(context.clone(), claim)).detach();
+    }
     let mut signals =
         Signals::new([Signal::Term, Signal::Int, Signal::Usr1, Signal::Hup]).map_err(|e| e.to_string())?;
     let (ask, asked) = async_channel::bounded(4);
@@ -134,7 +161,23 @@
     context.executor.spawn(actor).detach();
     context.executor.spawn(list::run(context.clone(), asked)).detach();
     context.serving.set(!config.known.targets.is_empty());
-    crate::log::line(format_args!("start name={} listen={:?}", config.name, config.listen));
+    if let Some(at) = config.admin {
+        let listener = bind("admin", at)?;
+        context.executor.spawn(agent::listen(context.clone(), listener, agent::Form::Operators)).detach();
+    }
+    // Guards clients of a front that follows another, which still serves: they come here once the list is fresh.
+    let patience = context.clock.now().0 + FRESH;
+    while follows && config.discovery.is_some() && !context.heard.get() && context.clock.now().0 < patience {
+        Timer::after(Duration::from_millis(5)).await;
+    }
+    let listener = config.listen.map(|a| listen("GW_LISTEN", a)).transpose()?;
+    context.listening.set(true);
+    crate::log::line(format_args!(
+        "start name={} listen={:?} other={:?}",
+        config.name,
+        config.listen,
+        context.other.get()
+    ));
     if let Some(listener) = listener {
         context.executor.spawn(platform::listen(context.clone(), listener)).detach();
     }
@@ -150,10 +193,6 @@
             context.executor.spawn(agent::listen(context.clone(), listener, form)).detach();
         }
     }
-    if let Some(at) = config.admin {
-        let listener = bind("admin", at)?;
-        context.executor.spawn(agent::listen(context.clone(), listener, agent::Form::Operators)).detach();
-    }
     while let Some(signal) = signals.next().await {
         match signal {
             Ok(Signal::Usr1) => drop(context.module.send(Mail::Print).await),
@@ -183,7 +222,8 @@
         if context.clients.get() > 0 {
             last = now;
         }
-        if passed >= LONGEST || (passed >= ACCEPTING && now.0 - last.0 >= CROSSING) {
+        let accepting = if context.followed() { 0 } else { ACCEPTING };
+        if passed >= LONGEST || (passed >= accepting && now.0 - last.0 >= CROSSING) {
             break;
         }
     }
--- a/crates/lichenrudder/src/module.rs
+++ b/crates/lichenrudder/src/module.rs
@@ -1,5 +1,6 @@
 //! The module's actor: takes mail from fronts, peers and the list, and carries out what the core says.
 use crate::context::Context;
+use crate::handover::part;
 use crate::list::Ask;
 use crate::peer::PeerMail;
 use async_channel::{Receiver, Sender};
@@ -32,6 +33,8 @@
     News(ListNews),
     /// The file was read again: its settings, or none where it was faulty.
     Reload(Option<Box<Settings>>),
+    /// Another process of this front has come or gone.
+    Share,
     /// Which disk boxes does the module keep from for now?
     Avoided(Sender<Vec<NodeId>>),
     /// Print the counters.
@@ -51,7 +54,7 @@
     watch: Sender<Ask>,
 ) -> Result<(), SettingsError> {
     let config = context.config();
-    let mut core: Core<Ticket> = Core::new(config.settings.clone(), config.seed, bound(&context))?;
+    let mut core: Core<Ticket> = Core::new(part(&context, &config.settings), config.seed, bound(&context))?;
     let mut mail = Box::pin(mail);
     let (mut second, mut before) = (context.clock.now(), Counters::default());
     loop {
@@ -83,10 +86,10 @@
                 Mail::Reload(None) => core.counters.reload_faults += 1,
                 Mail::Avoided(to) => drop(to.try_send(core.avoided(now))),
                 Mail::Reload(Some(settings)) => {
-                    if let Err(e) = core.reload(now, *settings, bound(&context)) {
-                        crate::log::line(format_args!("reload error={e}"));
-                    }
+                    core.counters.reloads += 1;
+                    put_in_force(&context, &mut core, &settings);
                 }
+                Mail::Share => put_in_force(&context, &mut core, &context.config().settings),
                 Mail::Print => {
                     let (nodes, volumes) = core.known();
                     let (open, boxes) = (core.open(), context.peers.borrow().len());
@@ -113,8 +116,14 @@
 
 /// An eighth of the memory for what is held here; rings and answers that wait have theirs.
 fn bound(context: &Context) -> Bound {
-    let limits = context.config().limits;
-    Bound { requests: REQUESTS, bytes: limits.memory_mb.min(192) as usize * 1024 * 1024 / 8 }
+    Bound { requests: REQUESTS, bytes: context.memory() / 8 }
+}
+
+/// Settings as they count for this process, and bounds.
+fn put_in_force(context: &Context, core: &mut Core<Ticket>, settings: &Settings) {
+    if let Err(e) = core.reload(context.clock.now(), part(context, settings), bound(context)) {
+        crate::log::line(format_args!("reload error={e}"));
+    }
 }
 
 fn carry_out(context: &Context, core: &mut Core<Ticket>, watch: &Sender<Ask>) {
--- a/crates/lichenrudder/src/operators.rs
+++ b/crates/lichenrudder/src/operators.rs
@@ -38,9 +38,9 @@
     }
 }
 
-/// Whether this process serves: it knows the boxes, and is not about to end.
+/// Whether this process serves: it listens, knows the boxes, and is not about to end.
 fn ready(context: &Context) -> bool {
-    context.serving.get() && context.stopping.get().is_none()
+    context.listening.get() && context.serving.get() && context.stopping.get().is_none()
 }
 
 /// The figures, one on a line.
--- a/crates/lichenrudder/src/platform.rs
+++ b/crates/lichenrudder/src/platform.rs
@@ -12,6 +12,7 @@
 use std::collections::VecDeque;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
+use std::time::Duration;
 
 const BOUNDS: (usize, usize) = (resp::LONGEST + 4096, resp::LONGEST + 4096);
 /// What a ring takes in any case.
@@ -22,6 +23,8 @@
 const ON_THE_WAY: i64 = 2_000;
 /// A connection that comes while the others are closed has so long to bring its request.
 const CROSSED: i64 = 200_000;
+/// How often a process that ends looks whether another has come.
+const FOLLOWED: Duration = Duration::from_millis(20);
 /// Commands that one connection has understood in one turn; then the others have theirs.
 const TURN: usize = 16;
 
@@ -30,7 +33,14 @@
     // Guards the descriptors of everything else: beyond the bound some are refused, more are not accepted for now.
     let may = || context.clients.get() < context.client_bound() + context.beyond_bound();
     let take = |stream, address| context.executor.spawn(client(context.clone(), stream, address)).detach();
-    accept(listener, may, async || room(&context).await, take).await;
+    // Guards new connections against a process that is about to end, where another listens beside it.
+    let over = async || {
+        let _ = context.stopped.1.recv().await;
+        while !context.followed() {
+            Timer::after(FOLLOWED).await;
+        }
+    };
+    accept(listener, may, async || room(&context).await, take, over).await;
 }
 
 enum Reply {
--- a/crates/lichenrudder/src/wire.rs
+++ b/crates/lichenrudder/src/wire.rs
@@ -130,15 +130,23 @@
     may: impl Fn() -> bool,
     room: impl AsyncFn(),
     mut take: impl FnMut(Async<TcpStream>, SocketAddr),
+    over: impl AsyncFn(),
 ) {
     let mut incoming = Box::pin(listener.incoming());
+    let mut over = Box::pin(over());
     loop {
         room().await;
         while !may() {
             Timer::after(PAUSE).await;
             room().await;
         }
-        match incoming.next().await {
+        // Guards those that have connected: all that wait are taken in before the listener closes.
+        let next = futures_lite::future::or(async { Some(incoming.next().await) }, async {
+            (&mut over).await;
+            None
+        });
+        let Some(next) = next.await else { return };
+        match next {
             Some(Ok(stream)) => {
                 if let Ok(address) = stream.get_ref().peer_addr() {
                     take(stream, address);
