Pass long values on to their client while they come, up to 8 MiB, with their end held back

Read: only the first bytes of a long value are timed, and one that still comes must not be cut off. At fault: peer.rs exchange(), which held each value whole and took every pause for a fault.

Design: once the head of a value over 64 KiB is there the attempt has ended as served, and its pieces go through a channel of one to the client's connection, so that a slow client makes its box wait. The last 1 KiB goes only once the line end stands where the length says; a value that can't be finished ends its client's connection (reason=cut). The core calls a value V and does not look into it; figures on use, which come after the value, count with the volume's next outcome. Rejected: a larger bound for whole values (4 MiB by the dozen do not fit 48 MB, and the first bytes would come late). The iSCSI front goes on taking values whole, 64 KiB at most.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -1,6 +1,6 @@
 //! The core between fronts and peers. It runs the decision module, keeps the table of requests and their
 //! attempts, and sees to it that each request gets exactly one final answer. It knows no wire and reads no
-//! clock: time is an argument. `T` is whatever the front needs to find its client again.
+//! clock: time is an argument. `T` is whatever the front needs to find its client again, `V` what it calls a value.
 use oxbowhill::interface::{
     Action, Ending, Event, ListNews, Micros, NodeId, Outcome, Settings, SettingsError,
 };
@@ -17,6 +17,9 @@
 /// rule allows 58 ms.
 const OVERDUE: i64 = 4_000;
 
+/// So many volumes may have figures that were told late.
+const TOLD: usize = 1024;
+
 /// Blocks of a volume.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Extent {
@@ -51,6 +54,8 @@
     pub extra: Rc<str>,
     /// What is to be written.
     pub body: Option<Bytes>,
+    /// Whether its client takes a long value while it comes.
+    pub piecemeal: bool,
     /// Which blocks of the volume, where the client named blocks.
     pub extent: Option<Extent>,
     /// Until when the client waits.
@@ -66,9 +71,9 @@
 
 /// A final answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Answer {
+pub enum Answer<V = Bytes> {
     /// What the node gave.
-    Served(Bytes),
+    Served(V),
     /// It did not run, or may be repeated: harmless to try again, best after that time.
     Refused(Option<Micros>),
     /// Nothing is promised; with the reason.
@@ -94,7 +99,7 @@
 
 impl Attempt {
     /// The end of this attempt, without a value.
-    pub fn ended(&self, ending: Ending) -> Ended {
+    pub fn ended<V>(&self, ending: Ending) -> Ended<V> {
         let (id, number, node) = (self.id, self.number, self.node.clone());
         Ended { id, number, node, started: self.started, ending, elsewhere: 0.0, value: None }
     }
@@ -102,7 +107,7 @@
 
 /// How an attempt ended.
 #[derive(Clone, Debug)]
-pub struct Ended {
+pub struct Ended<V = Bytes> {
     /// The request's number here.
     pub id: RequestId,
     /// The attempt's number.
@@ -116,16 +121,16 @@
     /// Units served for the volume through other hosts.
     pub elsewhere: f64,
     /// The value, of one that was served.
-    pub value: Option<Bytes>,
+    pub value: Option<V>,
 }
 
 /// What the program has to do.
 #[derive(Debug)]
-pub enum Effect<T> {
+pub enum Effect<T, V = Bytes> {
     /// Make an attempt.
     Start(Attempt),
     /// Give a client its final answer.
-    Answer(T, Answer),
+    Answer(T, Answer<V>),
     /// Ask discovery for changes.
     Watch,
 }
@@ -208,7 +213,7 @@
 }
 
 /// The core.
-pub struct Core<T> {
+pub struct Core<T, V = Bytes> {
     scheduler: Scheduler,
     table: BTreeMap<RequestId, Entry<T>>,
     /// The clients' names of requests that have no answer yet.
@@ -216,10 +221,12 @@
     timers: BTreeSet<(Micros, u64)>,
     overdue: BTreeSet<(Micros, RequestId)>,
     actions: Vec<Action>,
+    /// Units served elsewhere for volumes, told after their outcome was.
+    told: BTreeMap<Rc<str>, f64>,
     held: usize,
     bound: Bound,
     /// What is to be done, in order.
-    pub effects: VecDeque<Effect<T>>,
+    pub effects: VecDeque<Effect<T, V>>,
     /// What happened so far.
     pub counters: Counters,
 }
@@ -233,7 +240,7 @@
     pub bytes: usize,
 }
 
-impl<T> Core<T> {
+impl<T, V: Default> Core<T, V> {
     /// A core that knows no node yet; an error names the setting.
     pub fn new(settings: Settings, seed: u64, bound: Bound) -> Result<Self, SettingsError> {
         Ok(Core {
@@ -243,6 +250,7 @@
             timers: BTreeSet::new(),
             overdue: BTreeSet::new(),
             actions: Vec::new(),
+            told: BTreeMap::new(),
             held: 0,
             bound,
             effects: VecDeque::new(),
@@ -315,7 +323,7 @@
     }
 
     /// An attempt has ended. The first that was served is the final answer.
-    pub fn ended(&mut self, now: Micros, ended: Ended) {
+    pub fn ended(&mut self, now: Micros, ended: Ended<V>) {
         let Some(entry) = self.table.get_mut(&ended.id) else { return };
         // Guards against an end that is told twice: a peer that is torn down may race its own answer.
         if !entry.out || ended.number + 1 != entry.attempts {
@@ -328,9 +336,10 @@
             None => self.counters.unsent += 1,
         }
         let served = ended.ending == Ending::Ok;
+        let told = served.then(|| self.told.remove(&entry.request.volume)).flatten().unwrap_or(0.0);
         if let Some(ticket) = served.then(|| self.finish(ended.id)).flatten() {
             self.counters.served += 1;
-            let value = ended.value.unwrap_or_else(|| Rc::from([]));
+            let value = ended.value.unwrap_or_default();
             self.effects.push_back(Effect::Answer(ticket, Answer::Served(value)));
         }
         let finished = self.table.get(&ended.id).is_none_or(|e| e.ticket.is_none());
@@ -342,11 +351,20 @@
             ending: ended.ending,
             took: Micros(now.0 - ended.started.0),
             finished,
-            elsewhere: ended.elsewhere,
+            elsewhere: ended.elsewhere + told,
         };
         self.tell(now, Event::Ended(outcome));
     }
 
+    /// A node has told late, after its outcome, what was served for a volume through other hosts. It counts with the
+    /// volume's next outcome.
+    pub fn told_elsewhere(&mut self, volume: Rc<str>, units: f64) {
+        // Guards memory where every volume is new.
+        if units > 0.0 && (self.told.len() < TOLD || self.told.contains_key(&volume)) {
+            *self.told.entry(volume).or_default() += units;
+        }
+    }
+
     /// When `wake` is to be called next.
     pub fn next_wake(&self) -> Option<Micros> {
         let timer = self.timers.first().map(|t| t.0);
@@ -417,7 +435,7 @@
         self.counters.late += u64::from(self.table.get(&id).is_some_and(late));
     }
 
-    fn answer(&mut self, now: Micros, id: RequestId, answer: Answer) {
+    fn answer(&mut self, now: Micros, id: RequestId, answer: Answer<V>) {
         self.count_late(now, id);
         if let Some(ticket) = self.finish(id) {
             match answer {
--- a/crates/dispatch/tests/core.rs
+++ b/crates/dispatch/tests/core.rs
@@ -45,6 +45,7 @@
         hosts: 1,
         extra: "".into(),
         body: None,
+        piecemeal: false,
         extent: None,
         until: Micros(until),
     }
--- a/crates/lichenrudder/src/blocks.rs
+++ b/crates/lichenrudder/src/blocks.rs
@@ -1,9 +1,10 @@
 //! Attempts at a disk box that speaks iSCSI: each connection is a session that carries one command at a time.
 use crate::context::Context;
-use crate::peer::Connection;
+use crate::peer::{Connection, Exchanged};
+use crate::value::{Ended, Value};
 use crate::wire::{Moved, Reason};
 use async_io::Timer;
-use dispatch::{Attempt, Bytes, Ended, Extent};
+use dispatch::{Attempt, Bytes, Extent};
 use futures_lite::{future, StreamExt};
 use iscsi::initiator::{Initiator, Told};
 use iscsi::scsi::{self, status};
@@ -37,8 +38,11 @@
     attempt: &Attempt,
     connection: &mut Connection,
     target: &str,
-) -> (Ended, bool) {
-    let Some((lun, extent)) = extent(context, attempt) else { return (attempt.ended(Ending::Moot), true) };
+) -> (Exchanged, bool) {
+    let ended = |ended: Ended, keep: bool| (Exchanged::Ended(ended), keep);
+    let Some((lun, extent)) = extent(context, attempt) else {
+        return ended(attempt.ended(Ending::Moot), true);
+    };
     let body = attempt.request.body.as_ref().filter(|_| attempt.request.write).map(|body| {
         let mut padded = body.to_vec();
         padded.resize(extent.blocks as usize * BLOCK, 0);
@@ -63,7 +67,7 @@
     loop {
         if !wire.output.push(&out) {
             wire.reason = Reason::Bound;
-            return (attempt.ended(if written { Ending::Reset } else { Ending::ConnectFailed }), false);
+            return ended(attempt.ended(if written { Ending::Reset } else { Ending::ConnectFailed }), false);
         }
         out.clear();
         let moved = future::or(async { wire.next().await }, async {
@@ -96,13 +100,13 @@
                                     status::BUSY | status::TASK_SET_FULL => Ending::Full,
                                     _ => Ending::Error,
                                 };
-                                let value = (ending == Ending::Ok).then(|| Bytes::from(data));
+                                let value = (ending == Ending::Ok).then(|| Value::Whole(Bytes::from(data)));
                                 let keep = wire.output.is_empty() && wire.input.is_empty();
                                 wire.reason = Reason::Protocol;
                                 if keep {
                                     wire.reason = Reason::PeerClosed;
                                 }
-                                return (Ended { value, ..attempt.ended(ending) }, keep);
+                                return ended(Ended { value, ..attempt.ended(ending) }, keep);
                             }
                             Told::Rejected(_) => {
                                 wire.reason = Reason::Protocol;
@@ -131,7 +135,7 @@
             }
         };
         if let Some(ending) = ending {
-            return (attempt.ended(ending), false);
+            return ended(attempt.ended(ending), false);
         }
     }
 }
--- a/crates/lichenrudder/src/context.rs
+++ b/crates/lichenrudder/src/context.rs
@@ -7,7 +7,8 @@
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use config::Config;
-use dispatch::Answer;
+
+use crate::value::Answer;
 use oxbowhill::interface::{Micros, NodeId, RequestId};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -47,6 +48,8 @@
     pub serving: Cell<bool>,
     /// Requests in the core's table.
     pub open: Cell<usize>,
+    /// Long values that are being passed on.
+    pub passing: Cell<usize>,
     /// Requests that have no answer yet.
     pub unanswered: Cell<usize>,
     /// Answers by class: served, refused, failed.
@@ -89,6 +92,7 @@
             arriving: Cell::new(0),
             serving: Cell::new(false),
             open: Cell::new(0),
+            passing: Cell::new(0),
             unanswered: Cell::new(0),
             answers: RefCell::default(),
             relayed: Cell::new(0),
--- a/crates/lichenrudder/src/iscsi_front.rs
+++ b/crates/lichenrudder/src/iscsi_front.rs
@@ -3,11 +3,12 @@
 use crate::module::{Mail, Ticket};
 use crate::record::{self, Key, Note};
 use crate::seats::{room, Doing, Seat};
+use crate::value::Answer;
 use crate::wire::{accept, Moved, Reason, Wire};
 use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
 use config::{Iscsi, Lun};
-use dispatch::{Answer, Bytes, Extent, Request};
+use dispatch::{Bytes, Extent, Request};
 use futures_lite::{future, StreamExt};
 use iscsi::scsi::{Disk, Sense};
 use iscsi::target::{Event, Outcome, Shown, Target};
@@ -91,6 +92,7 @@
         hosts: lun.hosts,
         extra: "".into(),
         body,
+        piecemeal: false,
         extent: Some(Extent { first: lba, blocks }),
         until: Micros(context.clock.now().0 + wait),
     })
@@ -98,7 +100,7 @@
 
 fn outcome(answer: &Answer, write: bool) -> Outcome<'_> {
     match answer {
-        Answer::Served(value) => Outcome::Good(value),
+        Answer::Served(value) => Outcome::Good(value.whole()),
         Answer::Refused(wait) => Outcome::Busy(wait.map(|w| (w.0.max(0) as u64).div_ceil(1000))),
         Answer::Failed(_) if write => Outcome::Failed(Sense::WRITE_FAILED),
         Answer::Failed(_) => Outcome::Failed(Sense::READ_FAILED),
--- a/crates/lichenrudder/src/main.rs
+++ b/crates/lichenrudder/src/main.rs
@@ -14,6 +14,7 @@
 mod platform;
 mod record;
 mod seats;
+mod value;
 mod wire;
 
 use async_io::{Async, Timer};
--- a/crates/lichenrudder/src/module.rs
+++ b/crates/lichenrudder/src/module.rs
@@ -3,9 +3,10 @@
 use crate::handover::part;
 use crate::list::Ask;
 use crate::peer::PeerMail;
+use crate::value::{Answer, Ended, Value};
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
-use dispatch::{Answer, Bound, Core, Counters, Effect, Ended, Request};
+use dispatch::{Bound, Core, Counters, Effect, Request};
 use futures_lite::{future, StreamExt};
 use oxbowhill::interface::{Ending, ListNews, NodeId, RequestId, Settings, SettingsError};
 use std::rc::Rc;
@@ -29,6 +30,8 @@
     Left(RequestId),
     /// An attempt has ended.
     Ended(Ended),
+    /// Units served for a volume through other fronts, told after a long value.
+    Told(Rc<str>, f64),
     /// News of the list.
     News(ListNews),
     /// The file was read again: its settings, or none where it was faulty.
@@ -54,7 +57,8 @@
     watch: Sender<Ask>,
 ) -> Result<(), SettingsError> {
     let config = context.config();
-    let mut core: Core<Ticket> = Core::new(part(&context, &config.settings), config.seed, bound(&context))?;
+    let mut core: Core<Ticket, Value> =
+        Core::new(part(&context, &config.settings), config.seed, bound(&context))?;
     let mut mail = Box::pin(mail);
     let (mut second, mut before) = (context.clock.now(), Counters::default());
     loop {
@@ -82,6 +86,7 @@
                 }
                 Mail::Left(id) => core.left(now, id),
                 Mail::Ended(ended) => core.ended(now, ended),
+                Mail::Told(volume, units) => core.told_elsewhere(volume, units),
                 Mail::News(news) => core.news(now, news),
                 Mail::Reload(None) => core.counters.reload_faults += 1,
                 Mail::Avoided(to) => drop(to.try_send(core.avoided(now))),
@@ -120,13 +125,13 @@
 }
 
 /// Settings as they count for this process, and bounds.
-fn put_in_force(context: &Context, core: &mut Core<Ticket>, settings: &Settings) {
+fn put_in_force(context: &Context, core: &mut Core<Ticket, Value>, settings: &Settings) {
     if let Err(e) = core.reload(context.clock.now(), part(context, settings), bound(context)) {
         crate::log::line(format_args!("reload error={e}"));
     }
 }
 
-fn carry_out(context: &Context, core: &mut Core<Ticket>, watch: &Sender<Ask>) {
+fn carry_out(context: &Context, core: &mut Core<Ticket, Value>, watch: &Sender<Ask>) {
     while let Some(effect) = core.effects.pop_front() {
         match effect {
             Effect::Start(attempt) => {
--- a/crates/lichenrudder/src/operators.rs
+++ b/crates/lichenrudder/src/operators.rs
@@ -69,7 +69,7 @@
     let (accepted, invalid) = context.reloads.get();
     for (what, count) in [
         ("relayed", context.relayed.get()),
-        ("open_requests", context.unanswered.get() as u64),
+        ("open_requests", (context.unanswered.get() + context.passing.get()) as u64),
         ("registry_entries", peers.len() as u64),
         ("out_of_rotation", away.len() as u64),
         ("cfg_accepted", accepted),
--- a/crates/lichenrudder/src/peer.rs
+++ b/crates/lichenrudder/src/peer.rs
@@ -3,11 +3,12 @@
 use crate::blocks;
 use crate::context::{Context, Count, Weight};
 use crate::module::Mail;
+use crate::value::{self, Ended, Passing, Value};
 use crate::wire::{Moved, Reason, Wire};
 use async_channel::{Receiver, Sender, WeakSender};
 use async_io::Timer;
 use config::{Speaks, Target};
-use dispatch::{Attempt, Bytes, Ended};
+use dispatch::{Attempt, Bytes};
 use futures_lite::{future, StreamExt};
 use iscsi::initiator::Initiator;
 use oxbowhill::interface::{Ending, Micros, NodeEntry, NodeId, NodeState};
@@ -27,6 +28,11 @@
 const KEPT: usize = 48;
 /// How long a reply that has begun may stand still.
 const STANDSTILL: Duration = Duration::from_millis(100);
+/// How long a value that is being passed on may stand still. Its client has begun to get it: nobody else can be asked, and
+/// cutting off what still comes would lose the request.
+const PAUSE: Duration = Duration::from_secs(10);
+/// Of a value that is passed on so much is held back until its end has come.
+const HELD_BACK: usize = 1024;
 /// A connection rests for so long before it is used again: what a box sends beyond its reply is seen by then, and is
 /// not taken for the reply to the next command.
 const REST: i64 = 1_000;
@@ -220,14 +226,14 @@
         None => connect(&context, &place, &attempt).await,
     };
     let ended = match connection {
-        Err(ending) => attempt.ended(ending),
+        Err(ending) => Some(attempt.ended(ending)),
         // Guards the rule on drains: told meanwhile, this attempt must not start any more.
         Ok(mut connection) if place.closed.get() => {
             connection.wire.reason = Reason::Drained;
-            attempt.ended(Ending::Moot)
+            Some(attempt.ended(Ending::Moot))
         }
         Ok(mut connection) => {
-            let (ended, keep) = match place.speaks.get() {
+            let (ended, mut keep) = match place.speaks.get() {
                 Speaks::Resp => exchange(&context, &attempt, &mut connection.wire).await,
                 Speaks::Iscsi => {
                     let target = place.target.borrow().clone();
@@ -235,6 +241,16 @@
                 }
             };
             connection.wire.carried += 1;
+            let ended = match ended {
+                Exchanged::Ended(ended) => Some(ended),
+                Exchanged::Begun { parts, length } => {
+                    let (passing, coming) = Passing::begin(&context, length);
+                    let ended = Ended { value: Some(coming), ..attempt.ended(Ending::Ok) };
+                    let _ = context.module.send(Mail::Ended(ended)).await;
+                    keep = pass_on(&context, &attempt, &mut connection.wire, passing, parts).await;
+                    None
+                }
+            };
             if keep {
                 connection.since = context.clock.now();
                 if let Some(own) = own {
@@ -244,7 +260,106 @@
             ended
         }
     };
-    let _ = context.module.send(Mail::Ended(ended)).await;
+    if let Some(ended) = ended {
+        let _ = context.module.send(Mail::Ended(ended)).await;
+    }
+}
+
+/// What has become of a command that was written.
+pub enum Exchanged {
+    /// The attempt has ended.
+    Ended(Ended),
+    /// A long value has begun, the first part of an array; its head is used up.
+    Begun {
+        /// The parts that follow after it.
+        parts: usize,
+        /// Its length.
+        length: usize,
+    },
+}
+
+/// Passes a long value on while it comes; tells whether the connection may be used again.
+async fn pass_on(
+    context: &Rc<Context>,
+    attempt: &Attempt,
+    wire: &mut Wire,
+    mut passing: Passing,
+    parts: usize,
+) -> bool {
+    let mut weight = Weight::new(context, |c| &c.arriving);
+    weight.set(3 * value::PIECE);
+    loop {
+        // All but the end goes as it comes.
+        while passing.left > HELD_BACK && !wire.input.is_empty() {
+            let bytes = wire.input.front();
+            let count = bytes.len().min(passing.left - HELD_BACK).min(value::PIECE);
+            let went = passing.put(&bytes[..count]).await;
+            wire.input.consume(count);
+            if !went {
+                // Its client has gone, and this box goes on sending.
+                wire.reason = Reason::Bound;
+                return false;
+            }
+        }
+        if passing.left <= HELD_BACK {
+            let bytes = wire.input.contiguous();
+            match bytes.get(passing.left..passing.left + 2) {
+                Some(b"\r\n") => break,
+                // Guards the client: it does not get the end of a value that has another length than was said.
+                Some(_) => {
+                    wire.reason = Reason::Protocol;
+                    return false;
+                }
+                None => {}
+            }
+        }
+        wire.input.widen(value::PIECE);
+        if !more(wire, PAUSE).await {
+            return false;
+        }
+    }
+    let end = passing.left;
+    let went = passing.put(&wire.input.contiguous()[..end]).await;
+    wire.input.consume(end + 2);
+    drop(passing);
+    loop {
+        let room = wire.input.room() > 0;
+        match resp::parts(wire.input.contiguous(), parts, resp::LONGEST) {
+            Ok(Some((told, used))) => {
+                if let Some(resp::Reply::Bulk(Some(figures))) = told.first() {
+                    let (volume, units) = (attempt.request.volume.clone(), elsewhere(figures));
+                    let _ = context.module.send(Mail::Told(volume, units)).await;
+                }
+                wire.input.consume(used);
+                wire.reason = if wire.input.is_empty() { Reason::PeerClosed } else { Reason::Protocol };
+                return went && wire.input.is_empty();
+            }
+            Ok(None) if room => {
+                if !more(wire, STANDSTILL).await {
+                    return false;
+                }
+            }
+            _ => {
+                wire.reason = Reason::Protocol;
+                return false;
+            }
+        }
+    }
+}
+
+/// Waits until more has come; false, and the reason set, where nothing comes any more.
+async fn more(wire: &mut Wire, patience: Duration) -> bool {
+    let late = async {
+        Timer::after(patience).await;
+        None
+    };
+    let moved = future::or(async { wire.next().await }, late).await;
+    wire.reason = match moved {
+        Some(Ok(Moved::Read | Moved::Wrote)) => return true,
+        Some(Ok(Moved::End)) | Some(Err(_)) => Reason::Reset,
+        None => Reason::Protocol,
+    };
+    false
 }
 
 /// A new connection, or how the attempt ends without one.
@@ -348,7 +463,8 @@
 }
 
 /// Writes the command and reads its reply; also tells whether the connection may be used again.
-async fn exchange(context: &Rc<Context>, attempt: &Attempt, wire: &mut Wire) -> (Ended, bool) {
+async fn exchange(context: &Rc<Context>, attempt: &Attempt, wire: &mut Wire) -> (Exchanged, bool) {
+    let ended = |ended: Ended, keep: bool| (Exchanged::Ended(ended), keep);
     wire.output.push(&command(context, attempt));
     let until = context.clock.instant(attempt.until);
     let mut late = Timer::at(until);
@@ -371,6 +487,15 @@
         // Guards memory: long values come only while there is room for all that are coming.
         let room =
             wire.input.room() > 0 && (wire.input.memory() <= resp::LONGEST || !context.arriving_full());
+        // A long value goes on to its client while it comes, where that can take it so.
+        let head = resp::long_head(wire.input.contiguous(), resp::LONGEST);
+        let passed = |(_, length, _): &(usize, usize, usize)| {
+            attempt.request.piecemeal && !unsent && *length <= value::LONGEST && !context.arriving_full()
+        };
+        if let Some((parts, length, used)) = head.filter(passed) {
+            wire.input.consume(used);
+            return (Exchanged::Begun { parts: parts - 1, length }, false);
+        }
         let ending = match moved {
             Some(Ok(Moved::Wrote)) => {
                 context.count_relayed();
@@ -385,7 +510,7 @@
                         _ if unsent => (Ending::ConnectFailed, 0.0, None),
                         _ => {
                             wire.reason = Reason::Protocol;
-                            return (attempt.ended(Ending::Error), false);
+                            return ended(attempt.ended(Ending::Error), false);
                         }
                     };
                     wire.input.consume(used);
@@ -393,12 +518,13 @@
                     if !clean {
                         wire.reason = Reason::Protocol;
                     }
-                    return (Ended { elsewhere, value, ..attempt.ended(ending) }, clean);
+                    let value = value.map(Value::Whole);
+                    return ended(Ended { elsewhere, value, ..attempt.ended(ending) }, clean);
                 }
                 _ => {
                     wire.reason = Reason::Protocol;
                     // It has run, as far as can be told, and its box is well.
-                    return (
+                    return ended(
                         attempt.ended(if unsent { Ending::ConnectFailed } else { Ending::Error }),
                         false,
                     );
@@ -417,6 +543,6 @@
                 Ending::Timeout
             }
         };
-        return (attempt.ended(if unsent { Ending::ConnectFailed } else { ending }), false);
+        return ended(attempt.ended(if unsent { Ending::ConnectFailed } else { ending }), false);
     }
 }
--- a/crates/lichenrudder/src/platform.rs
+++ b/crates/lichenrudder/src/platform.rs
@@ -2,10 +2,11 @@
 use crate::context::{Context, Count, Weight};
 use crate::module::{Mail, Ticket};
 use crate::seats::{room, Doing, Seat, SHORT};
+use crate::value::{Answer, Coming, Value};
 use crate::wire::{accept, Moved, Reason, Wire};
-use async_channel::Sender;
+use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
-use dispatch::{Answer, Bytes, Request};
+use dispatch::{Bytes, Request};
 use futures_lite::{future, StreamExt};
 use oxbowhill::interface::{Micros, RequestId};
 use ring::Ring;
@@ -44,6 +45,8 @@
 }
 
 enum Reply {
+    /// The head of a bulk string, whose value is coming.
+    Coming(Vec<u8>, Coming),
     Bytes(Vec<u8>),
     /// The head of a bulk string, and its value.
     Value(Vec<u8>, Bytes),
@@ -59,6 +62,8 @@
     reply: Reply,
     /// How much of it is in the ring.
     begun: usize,
+    /// Whether the end of a value that came is there.
+    ended: bool,
     weight: usize,
     context: Rc<Context>,
 }
@@ -67,6 +72,8 @@
     fn new(context: &Rc<Context>, reply: Reply) -> Waiting {
         let weight = match &reply {
             Reply::Bytes(bytes) => bytes.len(),
+            // What is on its way counts where it comes in.
+            Reply::Coming(..) => 0,
             Reply::Value(_, value) => value.len(),
         };
         // Guards the memory against clients that ask and do not read. It has run: failed, and not refused.
@@ -78,7 +85,7 @@
             );
         }
         context.unsent.set(unsent);
-        Waiting { reply, begun: 0, weight, context: context.clone() }
+        Waiting { reply, begun: 0, ended: false, weight, context: context.clone() }
     }
 }
 
@@ -96,7 +103,7 @@
     /// What follows after so many bytes, as far as it lies in one piece; empty at the end.
     fn from(&self, at: usize) -> &[u8] {
         match self {
-            Reply::Bytes(bytes) => &bytes[at..],
+            Reply::Bytes(bytes) | Reply::Coming(bytes, _) => &bytes[at..],
             Reply::Value(head, value) => match at.checked_sub(head.len()) {
                 None => &head[at..],
                 Some(at) if at < value.len() => &value[at..],
@@ -108,7 +115,12 @@
 
 fn worded(answer: Answer) -> Reply {
     match answer {
-        Answer::Served(value) => Reply::Value(format!("${}\r\n", value.len()).into_bytes(), value),
+        Answer::Served(Value::Coming(coming)) => {
+            Reply::Coming(format!("${}\r\n", coming.length).into_bytes(), coming)
+        }
+        Answer::Served(Value::Whole(value)) => {
+            Reply::Value(format!("${}\r\n", value.len()).into_bytes(), value)
+        }
         // Rounded up: a client that came back earlier than told would be refused again.
         Answer::Refused(Some(wait)) => Reply::text(format!("-BUSY {}\r\n", (wait.0.max(0) + 999) / 1000)),
         Answer::Refused(None) => Reply::text("-BUSY\r\n"),
@@ -199,6 +211,7 @@
         extra: extra.join(",").into(),
         body: words.get(4).map(|b| Bytes::from(*b)),
         extent: None,
+        piecemeal: true,
         until: Micros(came.0 + wait - ON_THE_WAY),
     })
 }
@@ -352,12 +365,46 @@
                 waiting.begun += count;
                 continue;
             }
+            if let Reply::Coming(bytes, coming) = &mut waiting.reply {
+                if coming.length > 0 {
+                    // The next piece is awaited by the connection's own loop.
+                    break;
+                }
+                if !std::mem::replace(&mut waiting.ended, true) {
+                    *bytes = b"\r\n".to_vec();
+                    waiting.begun = 0;
+                    continue;
+                }
+            }
             self.slots.pop_front();
             self.first += 1;
         }
         self.first > before
     }
 
+    /// The pieces of the value that is being written, where the next one is awaited.
+    fn awaits(&self) -> Option<Receiver<Bytes>> {
+        let waiting = self.slots.front()?.reply.as_ref()?;
+        match &waiting.reply {
+            Reply::Coming(bytes, coming) if waiting.begun == bytes.len() && coming.length > 0 => {
+                Some(coming.pieces.clone())
+            }
+            _ => None,
+        }
+    }
+
+    /// Takes the next piece of the value that is being written; false where it can't be finished.
+    fn piece(&mut self, piece: Option<Bytes>) -> bool {
+        let waiting = self.slots.front_mut().and_then(|s| s.reply.as_mut());
+        let (Some(waiting), Some(piece)) = (waiting, piece) else { return false };
+        if let Reply::Coming(bytes, coming) = &mut waiting.reply {
+            coming.length -= piece.len().min(coming.length);
+            *bytes = piece.to_vec();
+            waiting.begun = 0;
+        }
+        true
+    }
+
     fn answered(&mut self, slot: u64, answer: Answer) {
         let reply = Waiting::new(&self.context, worded(answer));
         let place = slot.checked_sub(self.first).and_then(|n| self.slots.get_mut(n as usize));
@@ -389,6 +436,7 @@
 }
 
 enum Woken {
+    Piece(Option<Bytes>),
     Answer(Option<(u64, Answer)>),
     Moved,
     Tick,
@@ -453,9 +501,22 @@
             let _ = asked.recv().await;
             Woken::MakeRoom
         };
-        let others = future::or(leave, future::or(stop, tick));
+        let awaited = client.awaits();
+        let piece = async {
+            match awaited {
+                Some(pieces) => Woken::Piece(pieces.recv().await.ok()),
+                None => future::pending().await,
+            }
+        };
+        let others = future::or(future::or(piece, leave), future::or(stop, tick));
         match future::or(future::or(answer, moved), others).await {
             Woken::Answer(Some((slot, answer))) => client.answered(slot, answer),
+            // Guards the client: a value that can't be finished ends its connection, and it can tell.
+            Woken::Piece(piece) => {
+                if !client.piece(piece) {
+                    break Reason::Cut;
+                }
+            }
             Woken::Answer(None) | Woken::Tick | Woken::Moved => {}
             // Only between requests: what has come meanwhile is served.
             Woken::MakeRoom if client.seat.idle() => break Reason::Idle,
@@ -467,3 +528,24 @@
         let _ = context.module.send(Mail::Left(id)).await;
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn answers_beyond_the_bound_fail_and_make_room_again_once_taken() {
+        let file = include_str!("../tests/common/config.toml").replace("@IP@", "127.0.0.1");
+        let config = config::read("x.toml", &format!("limits = {{ memory_mb = 8 }}\n{file}")).unwrap();
+        let context = Context::new(config, async_channel::bounded(1).0);
+        let value = || worded(Answer::Served(Value::Whole(Bytes::from(vec![0; resp::LONGEST]))));
+        let mut waiting: Vec<Waiting> = (0..20).map(|_| Waiting::new(&context, value())).collect();
+        let whole = |w: &Waiting| matches!(w.reply, Reply::Value(..));
+        assert_eq!(waiting.iter().filter(|w| whole(w)).count(), 16, "an eighth of 8 MB");
+        assert!(waiting[19].reply.from(0).starts_with(b"-ERR "), "it has run: failed, not refused");
+        waiting.drain(..2);
+        assert!(whole(&Waiting::new(&context, value())));
+        drop(waiting);
+        assert_eq!(context.unsent.get(), 0);
+    }
+}
--- /dev/null
+++ b/crates/lichenrudder/src/value.rs
@@ -0,0 +1,74 @@
+//! What a disk box gave: a value that is whole, or a long one that is passed on while it comes. Of a long one the end is
+//! held back until the box has ended it as it should: a client that has it all can rely on it, and one that has not can
+//! tell.
+use crate::context::{Context, Count};
+use async_channel::{Receiver, Sender};
+use dispatch::Bytes;
+use std::rc::Rc;
+
+/// The end of a task of the core, with a value of this program.
+pub type Ended = dispatch::Ended<Value>;
+/// A final answer, with a value of this program.
+pub type Answer = dispatch::Answer<Value>;
+
+/// Bytes of one piece, at the most.
+pub const PIECE: usize = 16 * 1024;
+/// The longest value that is passed on; what claims to be longer is spoilt.
+pub const LONGEST: usize = 8 * 1024 * 1024;
+
+/// A value.
+#[derive(Clone, Debug)]
+pub enum Value {
+    /// It is here.
+    Whole(Bytes),
+    /// It is coming.
+    Coming(Coming),
+}
+
+impl Default for Value {
+    fn default() -> Self {
+        Value::Whole(Bytes::from([]))
+    }
+}
+
+impl Value {
+    /// The bytes that are here: all, where it is whole.
+    pub fn whole(&self) -> &[u8] {
+        match self {
+            Value::Whole(bytes) => bytes,
+            Value::Coming(_) => &[],
+        }
+    }
+}
+
+/// A value that is coming. Its pieces end early where it can't be finished.
+#[derive(Clone, Debug)]
+pub struct Coming {
+    /// Its length.
+    pub length: usize,
+    /// Its pieces.
+    pub pieces: Receiver<Bytes>,
+}
+
+/// The other end: where the pieces are put. One waits at a time, so that a client that is slow makes the box wait.
+pub struct Passing {
+    pieces: Sender<Bytes>,
+    /// How many bytes are still to be put.
+    pub left: usize,
+    _count: Count,
+}
+
+impl Passing {
+    /// A value of that length.
+    pub fn begin(context: &Rc<Context>, length: usize) -> (Passing, Value) {
+        let (to, pieces) = async_channel::bounded(1);
+        let passing = Passing { pieces: to, left: length, _count: Count::up(context, |c| &c.passing) };
+        (passing, Value::Coming(Coming { length, pieces }))
+    }
+
+    /// Puts a piece, once the client has room; false where it has gone.
+    pub async fn put(&mut self, bytes: &[u8]) -> bool {
+        self.left -= bytes.len();
+        self.pieces.send(Bytes::from(bytes)).await.is_ok()
+    }
+}
--- a/crates/lichenrudder/src/wire.rs
+++ b/crates/lichenrudder/src/wire.rs
@@ -46,6 +46,8 @@
     Bound,
     /// Answers waited that the client did not read.
     Unread,
+    /// A value that was being passed on could not be finished.
+    Cut,
     /// Its work is done.
     Done,
     /// The watch was asked for anew.
@@ -65,6 +67,7 @@
             Reason::Stopped => "stopped",
             Reason::Bound => "bound",
             Reason::Unread => "unread",
+            Reason::Cut => "cut",
             Reason::Done => "done",
             Reason::Replaced => "replaced",
         })
--- a/crates/resp/src/lib.rs
+++ b/crates/resp/src/lib.rs
@@ -28,7 +28,8 @@
     Number(i64),
 }
 
-type Part<T> = Result<Option<T>, Malformed>;
+/// A part of what comes: whole, not yet whole, or malformed.
+pub type Part<T> = Result<Option<T>, Malformed>;
 
 fn line(bytes: &[u8], at: usize) -> Part<(&[u8], usize)> {
     let rest = bytes.get(at..).unwrap_or_default();
@@ -117,6 +118,27 @@
     }))
 }
 
+/// The head of a long value that begins an array: how many parts the array has, the value's length, and the bytes that
+/// the head takes. None where the reply is of another kind, or its head is not whole.
+pub fn long_head(bytes: &[u8], above: usize) -> Option<(usize, usize, usize)> {
+    let (count, at) = line(bytes.strip_prefix(b"*").map(|_| bytes)?, 1).ok()??;
+    let count = usize::try_from(number(count).ok()?).ok().filter(|n| (1..=MOST).contains(n))?;
+    let (length, used) = line(bytes.get(at).filter(|b| **b == b'$').map(|_| bytes)?, at + 1).ok()??;
+    let length = usize::try_from(number(length).ok()?).ok().filter(|n| *n > above)?;
+    Some((count, length, used))
+}
+
+/// The parts of an array that follow after its first, and their length in bytes; none while they are not whole.
+pub fn parts(bytes: &[u8], count: usize, longest: usize) -> Part<(Vec<Reply<'_>>, usize)> {
+    let (mut parts, mut at) = (Vec::new(), 0);
+    for _ in 0..count {
+        let Some((part, end)) = reply_at(bytes, at, 1, longest)? else { return Ok(None) };
+        parts.push(part);
+        at = end;
+    }
+    Ok(Some((parts, at)))
+}
+
 /// The first reply and its length in bytes; none while it is not whole. A value of it may be `longest` bytes.
 pub fn reply(bytes: &[u8], longest: usize) -> Part<(Reply<'_>, usize)> {
     reply_at(bytes, 0, 0, longest)
--- a/crates/ring/src/lib.rs
+++ b/crates/ring/src/lib.rs
@@ -46,6 +46,11 @@
         }
     }
 
+    /// Takes memory for so many bytes at once, as far as its bound allows: for what comes fast.
+    pub fn widen(&mut self, size: usize) {
+        self.grow(size.min(self.bound));
+    }
+
     /// The bytes up to the end of the memory: all of them, or the first part.
     pub fn front(&self) -> &[u8] {
         &self.bytes[self.head..(self.head + self.len).min(self.bytes.len())]
