--- a/crates/lichenrudder/src/module.rs
+++ b/crates/lichenrudder/src/module.rs
@@ -81,6 +81,8 @@
             match letter {
                 Mail::Take(id, mut request, ticket) => {
                     // Guards against a kill that finds something unanswered.
+                    // One that is passed on while it comes may still be coming then: it is taken whole, in time.
+                    request.piecemeal &= context.stopping.get().is_none();
                     request.until = context.answer_by().map_or(request.until, |by| by.min(request.until));
                     core.take(now, id, request, ticket);
                 }
