Keep each class's kind over a reload whose list of kinds was not renewed

A probe of refusals at the door: 4813 times 'c: the class is of the other kind'. The file at hand: stock-read dropped and two classes added, while FamilyInfo.Writes stayed [false, true, false]. Ruled out: broken files (turned down, their keys in the log), the module (the requests never came to it). At fault: config::read, which takes kinds by place. Test: classes_keep_their_kind (fails without the change).

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -74,8 +74,8 @@
     pub name: String,
     /// The time for which a client waits in all.
     pub deadline: Micros,
-    /// Whether it writes.
-    pub write: bool,
+    /// Whether it writes; none where the file does not tell, and the client's command does.
+    pub write: Option<bool>,
 }
 
 /// How a disk box is spoken to.
@@ -446,7 +446,7 @@
         .map(|(i, c)| Class {
             name: c.name,
             deadline: Micros((c.deadline_s * 1e6) as i64),
-            write: writes.get(i).copied().unwrap_or(false),
+            write: writes.get(i).copied(),
         })
         .collect();
     let plans: Vec<String> = names.contracts.into_iter().map(|p| p.name).collect();
@@ -551,7 +551,7 @@
         {
             match classes.iter().find(|c| c.name == *class) {
                 None => return fault(key(k), format!("unknown class {class:?}")),
-                Some(c) if c.write != write => {
+                Some(c) if c.write.is_some_and(|w| w != write) => {
                     return fault(key(k), format!("class {class:?} is of the other kind"))
                 }
                 Some(_) => {}
@@ -640,6 +640,18 @@
         (0..self.plans.len()).find(|i| self.plans[*i] == name && !self.retired.1.contains(i))
     }
 
+    /// Sees to it that classes that were known before are of the kind that they had. Guards requests against a list of
+    /// kinds (`FamilyInfo.Writes`) that was not renewed when classes came or went: its places are then others'. It counts
+    /// for new classes only where it agrees with what is known of the others.
+    fn keep_kinds(&mut self, before: &[Class]) {
+        let known = |c: &Class| before.iter().find(|b| b.name == c.name).and_then(|b| b.write);
+        let agrees = |c: &Class| c.write.is_some() && known(c).is_none_or(|k| c.write == Some(k));
+        let renewed = self.classes.iter().all(agrees);
+        for class in &mut self.classes {
+            class.write = known(class).or(class.write.filter(|_| renewed));
+        }
+    }
+
     /// Reads the file that the environment names again, to be put in force in this one's place, and tells which
     /// keys have changed that need a restart and stay as they were. Indexes of classes, plans and zones that are in
     /// use keep their meaning. Discovery is the one that the file names, where it names another than before.
@@ -650,6 +662,7 @@
         if let Some(key) = self.shape.missing_in(&new.shape) {
             return fault(key, "is missing, and the file before had it");
         }
+        new.keep_kinds(&self.classes);
         if new.named == self.named || (new.named.is_none() && var("GW_DISCOVERY").is_some()) {
             new.discovery = self.discovery;
         }
--- a/crates/config/tests/platform.rs
+++ b/crates/config/tests/platform.rs
@@ -75,3 +75,32 @@
     assert!(config.reload(&env).is_err());
     std::fs::remove_file(&path).unwrap();
 }
+
+/// Classes keep their kind over a reload, also where the list of kinds was not renewed with them.
+#[test]
+fn classes_keep_their_kind() {
+    let path = std::env::temp_dir().join(format!("lichenrudder-kinds-{}.json", std::process::id()));
+    let file = path.to_str().unwrap().to_string();
+    let env = move |key: &str| (key == "GW_CONFIG").then(|| file.clone());
+    let class = |name: &str| {
+        format!("{{\"Name\":\"{name}\",\"OnTimeS\":0.25,\"DeadlineS\":1.2,\"Idempotency\":\"idempotent\"}}")
+    };
+    let write = |classes: &[&str], kinds: &str| {
+        let classes: Vec<String> = classes.iter().map(|c| class(c)).collect();
+        let text = FILE.replace(&class("r"), &classes.join(",")).replace("[false]", kinds);
+        std::fs::write(&path, text).unwrap();
+    };
+    write(&["r", "w", "x"], "[false,true,false]");
+    let first = config::from_env(&env).unwrap();
+    let kinds = |config: &config::Config, names: &[&str]| -> Vec<Option<bool>> {
+        names.iter().map(|n| config.classes[config.class(n).unwrap()].write).collect()
+    };
+    assert_eq!(kinds(&first, &["r", "w", "x"]), [Some(false), Some(true), Some(false)]);
+    write(&["w", "x", "new", "v"], "[false,true,false]");
+    let (second, _) = first.reload(&env).unwrap();
+    assert_eq!(kinds(&second, &["w", "x", "new", "v"]), [Some(true), Some(false), None, None]);
+    write(&["w", "x", "new", "v"], "[true,false,false,true]");
+    let (third, _) = second.reload(&env).unwrap();
+    assert_eq!(kinds(&third, &["w", "x", "new", "v"]), [Some(true), Some(false), Some(false), Some(true)]);
+    std::fs::remove_file(&path).unwrap();
+}
--- a/crates/lichenrudder/src/platform.rs
+++ b/crates/lichenrudder/src/platform.rs
@@ -193,7 +193,7 @@
     let there = |s: &i32| *s >= -1 && config.shards.is_none_or(|n| i64::from(*s) < i64::from(n));
     let Some(shard) = shard.filter(there) else { return error("shard: not the number of one") };
     let Some(hosts) = hosts.filter(|h| *h > 0) else { return error("hosts: not a number above 0") };
-    if config.classes[class].write != write {
+    if config.classes[class].write.is_some_and(|kind| kind != write) {
         return error("c: the class is of the other kind");
     }
     // Guards the module, which remembers until when clients wait, against ones that say they wait for weeks.
