--- a/crates/lichenrudder/src/platform.rs
+++ b/crates/lichenrudder/src/platform.rs
@@ -349,6 +349,11 @@
 
     /// Puts out the answers whose turn it is, as far as there is room; tells whether there were any.
     fn write(&mut self, wire: &mut Wire) -> bool {
+        // Guards answers that their box takes long over: they begin to wait unread now, and not when the connection was
+        // last looked at, which is when the request came.
+        if wire.output.is_empty() {
+            self.went_on = (wire.written, self.context.clock.now());
+        }
         let before = self.first;
         while let Some(waiting) = self.slots.front_mut().and_then(|s| s.reply.as_mut()) {
             // What is not read waits where it counts, and not in many rings.
