--- a/src/decide.rs
+++ b/src/decide.rs
@@ -939,7 +939,9 @@
                 } else if node.per_unit < NEAR_BEST * node.best && used {
                     node.window += 1.0 / node.window;
                 }
-                failed = outcome.took.0 as f64 * self.crowd.min(1.0) > self.shortest_aim;
+                // Where many hosts share a node one late answer tells of the queue that they all made, and
+                // the window is for that. Guards reservations, refused though the node answers.
+                failed = self.crowd < 1.0 && outcome.took.0 as f64 * self.crowd > self.shortest_aim;
                 if !failed {
                     node.failures = 0;
                 }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -48,6 +48,28 @@
     assert_eq!(sent(&host.arrive(request(3))), vec![3]);
 }
 
+#[test]
+fn among_hundreds_of_hosts_one_late_answer_does_not_take_a_node_out() {
+    let mut host = Host::new(Settings { hosts: 300, ..settings() });
+    let reserved = |id| Request { plan: 2, ..request(id) };
+    for id in 0..8 {
+        assert_eq!(sent(&host.arrive(reserved(id))), vec![id]);
+        host.pass(S);
+        host.end(id, Ending::Ok, 20 * MS);
+    }
+    host.arrive(reserved(8));
+    host.pass(S);
+    host.end(8, Ending::Ok, 260 * MS);
+    assert_eq!(sent(&host.arrive(reserved(9))), vec![9], "inside the reservation, and the node answers");
+    // What is beyond a reservation is held back: the window is what an answer that comes late narrows.
+    let beyond: Vec<u64> = (10..14).flat_map(|id| sent(&host.arrive(request(id)))).collect();
+    assert!(beyond.len() <= 1, "{beyond:?}");
+    // Silence still takes it out.
+    host.pass(S);
+    host.end(9, Ending::Timeout, S);
+    assert_eq!(refused(&host.arrive(reserved(20))), vec![20]);
+}
+
 #[test]
 fn a_client_with_little_patience_is_no_further_try() {
     let mut host = Host::new(settings());
