--- a/src/decide.rs
+++ b/src/decide.rs
@@ -4,7 +4,8 @@
 //! the node window decides how many are out at the shard's node, the turns decide whose request is next.
 use crate::interface::*;
 use crate::settings::check;
-use rand::{rngs::SmallRng, Rng, SeedableRng};
+use crate::tools::{forget, later, span, Random};
+use rand::Rng;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Operation credits of a session at one host: the source's client figure.
@@ -58,8 +59,10 @@
 struct Session {
     plan: usize,
     hosts: f64,
+    /// The reservation's store, as of when, and the same one charged for what clients ask.
     reserve: f64,
     reserve_at: Micros,
+    claim: f64,
     /// Units that answers told of lately: served through this host, and through all.
     here: f64,
     everywhere: f64,
@@ -90,6 +93,7 @@
     /// Units a second that the shard took from this host before the node's start, and where in the span
     /// that one request takes from its part the first may go.
     usual: f64,
+    measured: bool,
     phase: f64,
     failures: i32,
     not_before: Micros,
@@ -111,6 +115,8 @@
     /// Units that a warm node served for this host, fading over the time that a node takes to warm up.
     served: f64,
     served_at: Micros,
+    /// Units inside reservations that clients asked for here, fading likewise, and as of when.
+    asked: (f64, Micros),
 }
 
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -145,14 +151,6 @@
     rests_until: Micros,
 }
 
-struct Random(SmallRng);
-
-impl Default for Random {
-    fn default() -> Self {
-        Random(SmallRng::seed_from_u64(0))
-    }
-}
-
 /// The decisions of one host.
 #[derive(Default)]
 pub struct Scheduler {
@@ -189,20 +187,6 @@
     further: VecDeque<Micros>,
 }
 
-fn span(from: Micros, to: Micros) -> f64 {
-    (to.0 - from.0) as f64
-}
-
-fn later(at: Micros, by: f64) -> Micros {
-    Micros(at.0.saturating_add(by as i64))
-}
-
-fn forget(log: &mut VecDeque<Micros>, until: Micros) {
-    while log.front().is_some_and(|at| *at <= until) {
-        log.pop_front();
-    }
-}
-
 impl Session {
     /// The reservation's store, filled up to now: a second of the rate and one largest request at most; and
     /// the limit's. Tells whether both are full.
@@ -214,6 +198,7 @@
         let rate = plan.reservation * part;
         let depth = if rate > 0.0 { rate + set.most_units } else { 0.0 };
         self.reserve = (self.reserve + rate * span(self.reserve_at, now) / 1e6).min(depth);
+        self.claim = (self.claim + rate * span(self.reserve_at, now) / 1e6).min(depth);
         self.reserve_at = now;
         let part = plan.limit_rate / self.hosts * span(self.limit_at, now) / 1e6;
         let burst = plan.limit_burst / self.hosts;
@@ -282,7 +267,7 @@
     /// A host that knows nothing yet; an error names the setting that cannot work.
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         check(&settings)?;
-        let mut scheduler = Scheduler { rng: Random(SmallRng::seed_from_u64(seed)), ..Scheduler::default() };
+        let mut scheduler = Scheduler { rng: Random::seeded(seed), ..Scheduler::default() };
         scheduler.settle(settings);
         Ok(scheduler)
     }
@@ -416,7 +401,7 @@
             }
             if known.is_none() || node.entry.state != NodeState::Ready || e.started > node.started {
                 node.started = fresh.or(node.started);
-                (node.usual, node.phase) = (usual, self.rng.0.random());
+                (node.usual, node.measured, node.phase) = (usual, usual > 0.0, self.rng.0.random());
                 (node.failures, node.not_before) = (0, self.now);
             }
             node.entry = e;
@@ -491,6 +476,7 @@
             plan: request.plan,
             hosts,
             reserve: f64::INFINITY,
+            claim: f64::INFINITY,
             reserve_at: self.now,
             limit_at: self.limits_from.or(self.started).unwrap_or(self.now),
             ..Session::default()
@@ -626,6 +612,7 @@
         let same = (Micros(patience.0 - near), 0, None, now)..(Micros(patience.0 + near), 0, None, now);
         let first =
             self.unserved.range(same).find(|(_, s, k, _)| *s == session && *k == request.key).cloned();
+        self.asked(session, shard, request.units, first.is_none());
         let came = first.filter(|f| self.unserved.remove(f)).map_or(now, |(_, _, _, came)| came);
         let due = Micros(came.0 + aim.0).min(patience);
         let expires = Micros(patience.0 - near);
@@ -665,6 +652,21 @@
         }
     }
 
+    /// Counts first tries inside a reservation: the usual part of a cold node, where none is known, for all
+    /// reservations are less than it can do warm. Guards cold nodes, which new hosts would hardly use.
+    fn asked(&mut self, session: usize, shard: ShardId, units: f64, first: bool) {
+        let (now, warm_up) = (self.now, (self.set.cold.warm_up.0 as f64).max(1.0));
+        let faded = |from| (-span(from, now).max(0.0) / warm_up).exp();
+        let known = (1.0 - faded(self.started.unwrap_or(now))) * warm_up;
+        let claim = &mut self.sessions[session].claim;
+        let Some(place) = self.shards.get_mut(&shard).filter(|_| first && *claim >= units) else { return };
+        *claim -= units;
+        place.asked = (place.asked.0 * faded(place.asked.1) + units, now);
+        if let Some(node) = place.node.map(|n| &mut self.nodes[n]).filter(|n| !n.measured) {
+            node.usual = place.asked.0 / known.max(self.set.cold.window.0 as f64) * 1e6;
+        }
+    }
+
     /// Where a new object goes: to the node with the shortest expected wait.
     fn place(&mut self, lane: (bool, usize), units: f64) -> ShardId {
         let shards: Vec<ShardId> = self.shards.keys().copied().collect();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 mod decide;
 pub mod interface;
 mod settings;
+mod tools;
 pub mod wire;
 
 pub use decide::Scheduler;
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -70,6 +70,29 @@
     assert_eq!(refused(&host.arrive(reserved(20))), vec![20]);
 }
 
+#[test]
+fn a_host_that_was_started_again_sends_a_cold_node_its_part_of_what_is_reserved() {
+    // Two requests of 2 units a second for 8 of the 10 s in which the node warms up.
+    let served = |plan: usize| {
+        let mut host = Host::new(Settings { hosts: 300, ..settings() });
+        let cold = NodeEntry { started: Some(Micros(host.now)), ..entry("c", 0) };
+        host.tell(Event::List(ListNews::Full(vec![cold, entry("b", 1)])));
+        let mut served = 0;
+        for id in 0..16 {
+            let mut ids = sent(&host.arrive(Request { plan, ..request(id) }));
+            ids.extend(sent(&host.pass(500 * MS)));
+            ids.iter().for_each(|id| drop(host.end(*id, Ending::Ok, 20 * MS)));
+            served += ids.len();
+        }
+        served
+    };
+    // The node bears twice a quarter of what it does warm at first, so three quarters of that quarter are a
+    // cautious part; the even part of 8 units in a second would be one request in 75 s.
+    let reserved = served(2);
+    assert!((2..=8).contains(&reserved), "{reserved} of 16, all inside the reservation");
+    assert!(served(0) <= 1, "what nobody has reserved makes no claim");
+}
+
 #[test]
 fn a_client_with_little_patience_is_no_further_try() {
     let mut host = Host::new(settings());
