--- /dev/null
+++ b/crates/accord/src/lib.rs
@@ -0,0 +1,1 @@
+//! Hosts of what fronts settle among themselves: sockets, threads, disk.
--- /dev/null
+++ b/crates/consensus/src/lib.rs
@@ -0,0 +1,1 @@
+//! A replicated log under a quorum, free of I/O.
--- /dev/null
+++ b/crates/envelope/src/lib.rs
@@ -0,0 +1,1 @@
+//! Signed and replay-proof messages between fronts.
--- /dev/null
+++ b/crates/maintenance/src/lib.rs
@@ -0,0 +1,1 @@
+//! Boxes taken out for work, in an order that the fronts settle.
--- /dev/null
+++ b/crates/members/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership after SWIM, with evidence about boxes and halls.
--- /dev/null
+++ b/crates/rig/src/lib.rs
@@ -0,0 +1,1 @@
+//! Test support: several processes of the program, boxes, discovery, and links that fail.
