--- /dev/null
+++ b/crates/accord/src/disk.rs
@@ -0,0 +1,182 @@
+//! What must outlast the process, in one `redb` file: the life of the store, the log's hard state, its entries and its
+//! snapshot, each change in one transaction that is on disk before its promise is given.
+use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition};
+use std::fmt;
+use std::path::Path;
+
+const META: TableDefinition<'_, &str, &[u8]> = TableDefinition::new("meta");
+const LOG: TableDefinition<'_, u64, &[u8]> = TableDefinition::new("log");
+/// The form of the records; another one is refused, never guessed.
+const FORM: u64 = 1;
+
+/// What went wrong with the store, in plain words.
+#[derive(Debug)]
+pub struct Fault(pub String);
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for Fault {}
+
+fn words<E: fmt::Display>(what: &'static str) -> impl Fn(E) -> Fault {
+    move |e| Fault(format!("{what}: {e}"))
+}
+
+/// One change; all of it is on disk, or none.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Change {
+    /// The hard state, where it changes.
+    pub hard: Option<Vec<u8>>,
+    /// The snapshot, where it changes; entries up to and with its index go.
+    pub snapshot: Option<(u64, Vec<u8>)>,
+    /// Entries from this index on go.
+    pub truncate: Option<u64>,
+    /// Entries to be added.
+    pub append: Vec<(u64, Vec<u8>)>,
+}
+
+/// All that a store holds.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Content {
+    /// Drawn by chance when the store was made.
+    pub life: u64,
+    /// The hard state.
+    pub hard: Option<Vec<u8>>,
+    /// The snapshot.
+    pub snapshot: Option<Vec<u8>>,
+    /// The entries, in order.
+    pub entries: Vec<(u64, Vec<u8>)>,
+}
+
+/// An open store.
+pub struct Disk {
+    base: Database,
+}
+
+impl Disk {
+    /// Opens the store of a front in that folder, which is made where it is missing; a new store gets that life.
+    pub fn open(folder: &Path, life: u64) -> Result<Disk, Fault> {
+        std::fs::create_dir_all(folder).map_err(words("the folder can't be made"))?;
+        let base = Database::create(folder.join("accord.redb")).map_err(words("the store can't be opened"))?;
+        let disk = Disk { base };
+        disk.found(life)?;
+        Ok(disk)
+    }
+
+    /// Makes the tables of a new store, or checks the form of an old one.
+    fn found(&self, life: u64) -> Result<(), Fault> {
+        let write = self.base.begin_write().map_err(words("the store can't be written"))?;
+        {
+            let mut meta = write.open_table(META).map_err(words("the store's meta data"))?;
+            write.open_table(LOG).map_err(words("the store's log"))?;
+            let form = number(&meta, "form")?;
+            match form {
+                None => {
+                    let put = [("form", FORM), ("life", life)];
+                    for (key, value) in put {
+                        meta.insert(key, value.to_be_bytes().as_slice()).map_err(words("the store's meta data"))?;
+                    }
+                }
+                Some(FORM) => {}
+                // Guards against a store of a later version, whose records would be read as something else.
+                Some(other) => return Err(Fault(format!("the store has form {other}, this program knows {FORM}"))),
+            }
+        }
+        write.commit().map_err(words("the store can't be written"))
+    }
+
+    /// Reads everything, as at the start.
+    pub fn read(&self) -> Result<Content, Fault> {
+        let read = self.base.begin_read().map_err(words("the store can't be read"))?;
+        let meta = read.open_table(META).map_err(words("the store's meta data"))?;
+        let log = read.open_table(LOG).map_err(words("the store's log"))?;
+        let bytes = |key: &str| -> Result<Option<Vec<u8>>, Fault> {
+            let found = meta.get(key).map_err(words("the store's meta data"))?;
+            Ok(found.map(|v| v.value().to_vec()))
+        };
+        let mut content = Content {
+            life: number(&meta, "life")?.ok_or(Fault("the store has no life".into()))?,
+            hard: bytes("hard")?,
+            snapshot: bytes("snapshot")?,
+            entries: Vec::new(),
+        };
+        for entry in log.iter().map_err(words("the store's log"))? {
+            let (index, data) = entry.map_err(words("the store's log"))?;
+            content.entries.push((index.value(), data.value().to_vec()));
+        }
+        Ok(content)
+    }
+
+    /// Carries out a change; once this returns it is on disk.
+    pub fn write(&self, change: &Change) -> Result<(), Fault> {
+        let write = self.base.begin_write().map_err(words("the store can't be written"))?;
+        {
+            let mut meta = write.open_table(META).map_err(words("the store's meta data"))?;
+            let mut log = write.open_table(LOG).map_err(words("the store's log"))?;
+            if let Some(hard) = &change.hard {
+                meta.insert("hard", hard.as_slice()).map_err(words("the hard state"))?;
+            }
+            if let Some((index, snapshot)) = &change.snapshot {
+                meta.insert("snapshot", snapshot.as_slice()).map_err(words("the snapshot"))?;
+                log.retain(|at, _| at > *index).map_err(words("the store's log"))?;
+            }
+            if let Some(from) = change.truncate {
+                log.retain(|at, _| at < from).map_err(words("the store's log"))?;
+            }
+            for (index, data) in &change.append {
+                log.insert(index, data.as_slice()).map_err(words("the store's log"))?;
+            }
+        }
+        write.commit().map_err(words("the store can't be written"))
+    }
+}
+
+fn number(meta: &impl ReadableTable<&'static str, &'static [u8]>, key: &str) -> Result<Option<u64>, Fault> {
+    let Some(found) = meta.get(key).map_err(words("the store's meta data"))? else { return Ok(None) };
+    let bytes = found.value().try_into().map_err(|_| Fault(format!("the store's {key} is no number")))?;
+    Ok(Some(u64::from_be_bytes(bytes)))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_store_gives_back_what_was_written_and_keeps_its_life() {
+        let folder = tempfile::tempdir().unwrap();
+        let disk = Disk::open(folder.path(), 7).unwrap();
+        let append = (1..=4).map(|i| (i, vec![i as u8])).collect();
+        disk.write(&Change { hard: Some(vec![9]), append, ..Change::default() }).unwrap();
+        disk.write(&Change { truncate: Some(3), append: vec![(3, vec![33])], ..Change::default() }).unwrap();
+        disk.write(&Change { snapshot: Some((1, vec![5])), ..Change::default() }).unwrap();
+        drop(disk);
+        let again = Disk::open(folder.path(), 8).unwrap().read().unwrap();
+        let entries = vec![(2, vec![2]), (3, vec![33])];
+        assert_eq!(again, Content { life: 7, hard: Some(vec![9]), snapshot: Some(vec![5]), entries });
+    }
+
+    #[test]
+    fn a_store_that_is_no_store_is_refused_and_stays_as_it_is() {
+        let folder = tempfile::tempdir().unwrap();
+        let file = folder.path().join("accord.redb");
+        std::fs::write(&file, b"something else").unwrap();
+        let Err(fault) = Disk::open(folder.path(), 7) else { panic!("it was opened") };
+        assert!(fault.0.starts_with("the store can't be opened"), "{fault}");
+        assert_eq!(std::fs::read(&file).unwrap(), b"something else");
+    }
+
+    #[test]
+    fn a_store_of_another_form_is_refused() {
+        let folder = tempfile::tempdir().unwrap();
+        let disk = Disk::open(folder.path(), 7).unwrap();
+        let write = disk.base.begin_write().unwrap();
+        write.open_table(META).unwrap().insert("form", 2_u64.to_be_bytes().as_slice()).unwrap();
+        write.commit().unwrap();
+        drop(disk);
+        let Err(fault) = Disk::open(folder.path(), 7) else { panic!("it was opened") };
+        assert!(fault.0.contains("form 2"), "{fault}");
+    }
+}
--- a/crates/lichenrudder/src/agent.rs
+++ b/crates/lichenrudder/src/agent.rs
@@ -1,6 +1,7 @@
 //! What balancers ask for: the agent check (a line on connecting, as HAProxy reads it) and HTTP health checks; and
 //! the connections on which operators call.
 use crate::context::Context;
+use crate::operators::{self, Operators};
 use crate::wire::{accept, Moved, Reason, Wire};
 use async_io::{Async, Timer};
 use futures_lite::{future, StreamExt};
@@ -9,14 +10,14 @@
 use std::time::Duration;
 
 /// What a listener speaks.
-#[derive(Clone, Copy)]
+#[derive(Clone)]
 pub enum Form {
     /// The agent check.
     Agent,
     /// HTTP health checks.
     Http,
     /// Operators' calls.
-    Operators,
+    Operators(Operators),
 }
 
 /// Checks at once; what comes beyond is closed.
@@ -29,7 +30,7 @@
 pub async fn listen(context: Rc<Context>, listener: Async<TcpListener>, form: Form) {
     let open = Rc::new(());
     let take = |stream, address| {
-        let check = check(context.clone(), stream, address, form, open.clone());
+        let check = check(context.clone(), stream, address, form.clone(), open.clone());
         context.executor.spawn(check).detach();
     };
     accept(listener, || true, async || {}, take, async || future::pending().await).await;
@@ -37,29 +38,30 @@
 
 /// The agent's line: whether to send here, and how much, by how full the table is and how much is refused.
 fn line(context: &Context) -> String {
-    if context.stopping.get().is_some() {
+    if context.life.stopping.get().is_some() {
         return "drain\n".into();
     }
-    if !context.serving.get() {
+    if !context.life.serving.get() {
         return "down\n".into();
     }
-    let full = (100 * context.open.get() / crate::module::REQUESTS) as u64;
-    let weight = 100 - full.max(context.refusing.get()).min(99);
+    let full = (100 * context.tallies.open.get() / crate::module::REQUESTS) as u64;
+    let weight = 100 - full.max(context.tallies.refusing.get()).min(99);
     format!("up {weight}%\n")
 }
 
-async fn page(context: &Rc<Context>, bytes: &[u8], form: Form) -> Option<Vec<u8>> {
+async fn page(context: &Rc<Context>, bytes: &[u8], form: &Form) -> Option<Vec<u8>> {
     Some(match http::request_head(bytes) {
         Ok(None) => return None,
         Err(e) => http::answer(400, "Bad Request", e.0),
-        Ok(Some((method, target, _))) if matches!(form, Form::Operators) => {
-            crate::operators::answer(context, method, target).await
+        Ok(Some((method, target, _))) if matches!(form, Form::Operators(_)) => {
+            let Form::Operators(on) = form else { return None };
+            operators::answer(on, method, target).await
         }
         Ok(Some((method, _, _))) if method != "GET" && method != "HEAD" => {
             http::answer(405, "Method Not Allowed", "GET or HEAD\n")
         }
         Ok(Some((method, target, _))) => {
-            let ready = context.serving.get() && context.stopping.get().is_none();
+            let ready = context.life.serving.get() && context.life.stopping.get().is_none();
             let mut answer = match target {
                 "/healthz" => http::answer(200, "OK", "ok\n"),
                 "/readyz" if ready => http::answer(200, "OK", "ready\n"),
@@ -85,7 +87,7 @@
     let kind = match form {
         Form::Agent => "agent",
         Form::Http => "health",
-        Form::Operators => "operator",
+        Form::Operators(_) => "operator",
     };
     let mut wire = Wire::new(stream, kind, address, BOUNDS);
     if Rc::strong_count(&open) > MOST + 1 {
@@ -104,7 +106,7 @@
                 Some(Ok(Moved::Wrote)) => {}
                 Some(Ok(Moved::Read)) if answered => wire.input.consume(usize::MAX),
                 Some(Ok(Moved::Read)) => {
-                    if let Some(answer) = page(&context, wire.input.contiguous(), form).await {
+                    if let Some(answer) = page(&context, wire.input.contiguous(), &form).await {
                         wire.output.push(&answer);
                         answered = true;
                     }
--- a/crates/lichenrudder/src/blocks.rs
+++ b/crates/lichenrudder/src/blocks.rs
@@ -1,8 +1,8 @@
 //! Attempts at a disk box that speaks iSCSI: each connection is a session that carries one command at a time.
 use crate::context::Context;
-use crate::peer::{Connection, Exchanged};
+use crate::exchange::Exchanged;
 use crate::value::{Ended, Value};
-use crate::wire::{Moved, Reason};
+use crate::wire::{Moved, Reason, Wire};
 use async_io::Timer;
 use dispatch::{Attempt, Bytes, Extent};
 use futures_lite::{future, StreamExt};
@@ -36,7 +36,8 @@
 pub async fn exchange(
     context: &Context,
     attempt: &Attempt,
-    connection: &mut Connection,
+    wire: &mut Wire,
+    session: &mut Option<Initiator>,
     target: &str,
 ) -> (Exchanged, bool) {
     let ended = |ended: Ended, keep: bool| (Exchanged::Ended(ended), keep);
@@ -50,7 +51,6 @@
     });
     let cdb = scsi::transfer(attempt.request.write, extent.first, extent.blocks);
     let expected = extent.blocks as usize * BLOCK;
-    let Connection { wire, session, .. } = connection;
     let mut out = Vec::new();
     let mut begun = session.is_some();
     let session = session.get_or_insert_with(Initiator::default);
@@ -79,7 +79,7 @@
         // for, and may have begun to write. Only before that it is sure that nothing ran.
         let whole = begun && wire.output.is_empty();
         if whole && !std::mem::replace(&mut written, whole) {
-            context.count_relayed();
+            context.tallies.relayed();
         }
         let maybe = |ending| if written { ending } else { Ending::ConnectFailed };
         let ending = match moved {
--- /dev/null
+++ b/crates/lichenrudder/src/boxes.rs
@@ -0,0 +1,171 @@
+//! The table of disk boxes: an actor for each that is listed, told what the list says of its box and what was taken out
+//! by hand.
+use crate::bans::Bans;
+use crate::context::Context;
+use crate::mail::{Mail, Module};
+use crate::peer::{self, PeerMail, Place, Work};
+use async_channel::Sender;
+use config::{Target, Targets};
+use dispatch::Attempt;
+use oxbowhill::interface::{ListNews, NodeId, NodeState};
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::{Rc, Weak};
+
+/// The most mail that may wait for one box.
+const MAILBOX: usize = 1024;
+
+/// A peer, as others see it.
+pub struct Peer {
+    /// Its mailbox.
+    pub mail: Sender<PeerMail>,
+    /// What the list says.
+    pub place: Rc<Place>,
+}
+
+/// The disk boxes.
+pub struct Boxes {
+    context: Rc<Context>,
+    module: Module,
+    bans: Rc<Bans>,
+    peers: RefCell<BTreeMap<NodeId, Peer>>,
+    own: Weak<Boxes>,
+}
+
+impl Boxes {
+    /// No boxes yet.
+    pub fn new(context: Rc<Context>, module: Module, bans: Rc<Bans>) -> Rc<Boxes> {
+        Rc::new_cyclic(|own| Boxes { context, module, bans, peers: RefCell::default(), own: own.clone() })
+    }
+
+    /// How many there are.
+    pub fn len(&self) -> usize {
+        self.peers.borrow().len()
+    }
+
+    /// Whether one is listed.
+    pub fn contains(&self, node: &NodeId) -> bool {
+        self.peers.borrow().contains_key(node)
+    }
+
+    /// Hands an attempt to its box; false where that can't be done, and it was not sent.
+    pub fn start(&self, attempt: Attempt) -> bool {
+        let mailbox = self.peers.borrow().get(&attempt.node).map(|p| p.mail.clone());
+        mailbox.is_some_and(|m| m.try_send(PeerMail::Start(attempt)).is_ok())
+    }
+
+    /// Ends all idle connections: the program ends.
+    pub fn stop(&self) {
+        for peer in self.peers.borrow().values() {
+            let _ = peer.mail.try_send(PeerMail::Stop);
+        }
+    }
+
+    /// Asks a box that has idle connections to close one; false where none has any.
+    fn make_room(&self) -> bool {
+        self.peers.borrow().values().any(|peer| {
+            let idle = peer.place.idle.get();
+            peer.place.idle.set(idle.saturating_sub(1));
+            idle > 0 && peer.mail.try_send(PeerMail::Spare).is_ok()
+        })
+    }
+
+    /// A message of discovery, as it counts for this front. Peers first: what the module has started and they have not
+    /// must know of a drain.
+    pub fn news(&self, targets: &Targets) -> ListNews {
+        self.update(&targets.targets, targets.whole);
+        let entries = targets.targets.iter().map(|target| {
+            self.bans.remember(&target.entry.node);
+            self.bans.seen(target.entry.clone())
+        });
+        match targets.whole {
+            true => ListNews::Full(entries.collect()),
+            false => ListNews::Delta(entries.collect()),
+        }
+    }
+
+    /// Puts in force what is taken out now: attempts that still wait for a connection first, then the module.
+    pub async fn apply(&self) {
+        let mut entries = Vec::new();
+        for peer in self.peers.borrow().values() {
+            let entry = self.bans.seen(peer.place.entry.borrow().clone());
+            peer.place.closed.set(entry.state != NodeState::Ready);
+            drop(peer.mail.try_send(PeerMail::Changed));
+            entries.push(entry);
+        }
+        // Guards the watch: this is no news of discovery, and must not pass for a sign that it was heard.
+        let _ = self.module.send(Mail::News(ListNews::Cached(entries))).await;
+    }
+
+    /// Puts in place what another process of the front has written down; tells whether anything changed.
+    pub fn take_over(&self, read: Option<(i64, BTreeSet<NodeId>)>) -> bool {
+        self.bans.take_over(read)
+    }
+
+    /// Takes a box out, or puts it back; no for one that was never listed.
+    pub async fn set(&self, node: &str, out: bool) -> bool {
+        match self.bans.set(&self.context, node, out) {
+            None => return false,
+            Some(changed) if changed => self.apply().await,
+            Some(_) => {}
+        }
+        true
+    }
+
+    /// Starts peers for new entries of the list and tells those that are there.
+    fn update(&self, targets: &[Target], whole: bool) {
+        let mut peers = self.peers.borrow_mut();
+        // One that has left is forgotten: its actor ends once nothing is out there, and one that returns is new. Guards
+        // memory where every box is replaced, and replaced again.
+        let leave = |peer: &Peer| peer.place.closed.set(true);
+        if whole {
+            let named: BTreeSet<&NodeId> = targets.iter().map(|t| &t.entry.node).collect();
+            peers.retain(|node, peer| {
+                let stays = named.contains(node);
+                if !stays {
+                    leave(peer);
+                }
+                stays
+            });
+        }
+        for target in targets {
+            let entry = &target.entry;
+            if entry.state == NodeState::Gone {
+                peers.remove(&entry.node).iter().for_each(leave);
+                continue;
+            }
+            let peer = peers.entry(entry.node.clone()).or_insert_with(|| {
+                let (mail, inbox) = async_channel::bounded(MAILBOX);
+                let place = Rc::new(Place {
+                    entry: RefCell::new(entry.clone()),
+                    address: Cell::new(None),
+                    closed: Cell::new(false),
+                    started: Cell::new(entry.started),
+                    speaks: Cell::new(target.speaks),
+                    target: RefCell::new(target.target.clone()),
+                    idle: Cell::new(0),
+                    life: Cell::new(0),
+                });
+                let own = self.own.clone();
+                let work = Work {
+                    context: self.context.clone(),
+                    module: self.module.clone(),
+                    place: place.clone(),
+                    make_room: Rc::new(move || own.upgrade().is_some_and(|boxes| boxes.make_room())),
+                };
+                let actor = peer::run(work, inbox, mail.downgrade());
+                self.context.executor.spawn(actor).detach();
+                Peer { mail, place }
+            });
+            let place = &peer.place;
+            if place.started.replace(entry.started) < entry.started || place.address.get() != target.address {
+                place.life.set(place.life.get() + 1);
+            }
+            place.entry.replace(entry.clone());
+            place.speaks.set(target.speaks);
+            place.address.set(target.address);
+            place.closed.set(self.bans.seen(entry.clone()).state != NodeState::Ready);
+            drop(peer.mail.try_send(PeerMail::Changed));
+        }
+    }
+}
--- /dev/null
+++ b/crates/lichenrudder/src/client.rs
@@ -0,0 +1,184 @@
+//! A client of the platform's front, without its connection: commands in, answers out in their order.
+use crate::command::{understand, Asked};
+use crate::context::Context;
+use crate::counts::Weight;
+use crate::mail::{Mail, Module, Ticket};
+use crate::reply::{worded, Reply, Waiting};
+use crate::seats::{Doing, Seat};
+use crate::value::Answer;
+use crate::wire::{Reason, Wire};
+use async_channel::Sender;
+use oxbowhill::interface::{Micros, RequestId};
+use ring::Ring;
+use std::collections::VecDeque;
+use std::rc::Rc;
+
+/// What a ring takes in any case.
+const SMALL: usize = 4096;
+/// Commands of one connection that may be unanswered.
+pub const PIPELINE: usize = 128;
+/// A connection that comes while the others are closed has so long to bring its request.
+const CROSSED: i64 = 200_000;
+/// Commands that one connection has understood in one turn; then the others have theirs.
+const TURN: usize = 16;
+
+/// The place of one command in the order of answers.
+pub struct Slot {
+    /// Its request, where the core has one.
+    pub id: Option<RequestId>,
+    /// Its answer, once that is there.
+    pub reply: Option<Waiting>,
+}
+
+/// A client's side toward the core, without its connection.
+pub struct Client {
+    pub context: Rc<Context>,
+    pub module: Module,
+    /// Whether it came beyond the bound: it is answered with a refusal and closed, which guards the descriptors.
+    pub beyond: bool,
+    pub answers: Sender<(u64, Answer)>,
+    /// Commands whose answers are not written yet, in order, and the number of the first.
+    pub slots: VecDeque<Slot>,
+    pub first: u64,
+    pub closing: Option<Reason>,
+    pub seat: Seat,
+    /// What its rings count for.
+    pub rings: Weight,
+    pub came: Micros,
+    /// When the command that is being read must be whole.
+    pub whole_by: Option<Micros>,
+    /// What was written when it last went on, and when that was.
+    pub went_on: (u64, Micros),
+}
+
+impl Client {
+    fn push(&mut self, id: Option<RequestId>, reply: Option<Reply>) {
+        let reply = reply.map(|r| Waiting::new(&self.context, r));
+        self.slots.push_back(Slot { id, reply });
+    }
+
+    /// Takes in the commands that have come, as many as may be unanswered and as one turn allows; tells whether it
+    /// was the turn that ended it.
+    pub fn read(&mut self, wire: &mut Wire) -> bool {
+        let mut left = TURN;
+        while self.closing.is_none() && self.slots.len() < PIPELINE {
+            // Guards the others against one that sends as fast as it can.
+            if left == 0 {
+                return true;
+            }
+            left -= 1;
+            let came = self.context.clock.now();
+            let room = wire.input.room() > 0;
+            let fault = match resp::command(wire.input.contiguous()) {
+                Ok(Some((words, used))) => {
+                    let asked = understand(&self.context, &words, came);
+                    wire.input.consume(used);
+                    wire.carried += 1;
+                    self.whole_by = None;
+                    self.take(asked);
+                    continue;
+                }
+                Ok(None) if room => {
+                    if wire.input.is_empty() && wire.carried > 0 {
+                        self.whole_by = None;
+                    } else if self.whole_by.is_none() {
+                        self.whole_by = Some(Micros(came.0 + self.limits().0));
+                    }
+                    // Guards memory against many large halves.
+                    if wire.input.memory() > SMALL && self.context.rings_full() {
+                        self.push(None, Some(Reply::text("-ERR too much is half there\r\n")));
+                        self.closing = Some(Reason::Bound);
+                        return false;
+                    }
+                    // Guards descriptors and memory: silent connections, and commands that stay halves.
+                    if self.whole_by.is_none_or(|by| came < by) {
+                        return false;
+                    }
+                    if wire.input.is_empty() {
+                        self.closing = Some(Reason::Idle);
+                        return false;
+                    }
+                    "the command was not whole in time"
+                }
+                Ok(None) => "too long",
+                Err(e) => e.0,
+            };
+            self.push(None, Some(Reply::text(format!("-ERR Protocol error: {fault}\r\n"))));
+            self.closing = Some(Reason::Protocol);
+        }
+        false
+    }
+
+    /// Refuses a request that the module is not told of.
+    fn refuse(&mut self, class: usize) {
+        self.context.tallies.answer(class, 1);
+        self.push(None, Some(worded(Answer::Refused(None))));
+    }
+
+    /// How long a command may take to be whole, and how long answers may wait unread.
+    fn limits(&self) -> (i64, i64) {
+        let clients = self.context.config().clients;
+        ((clients.command_s * 1e6) as i64, (clients.unread_s * 1e6) as i64)
+    }
+
+    /// Tells the others what the connection does, and when it is to be looked at again.
+    pub fn settle(&mut self, wire: &Wire) -> Micros {
+        let now = self.context.clock.now();
+        let nothing = self.slots.is_empty() && wire.output.is_empty() && wire.input.is_empty();
+        self.seat.set(match (nothing, wire.carried) {
+            (true, 0) => Doing::Silent,
+            (true, _) => Doing::Idle,
+            _ => Doing::Busy,
+        });
+        let beyond = |ring: &Ring| ring.memory().saturating_sub(SMALL);
+        self.rings.set(beyond(&wire.input) + beyond(&wire.output));
+        if wire.output.is_empty() || wire.written != self.went_on.0 {
+            self.went_on = (wire.written, now);
+        }
+        let unread = (!wire.output.is_empty()).then_some(Micros(self.went_on.1 .0 + self.limits().1));
+        let waits = if self.context.life.stopping.get().is_some() { 50_000 } else { 20_000_000 };
+        let ends = [self.whole_by.filter(|_| self.closing.is_none()), unread];
+        let next = ends.into_iter().flatten().min().unwrap_or(Micros(i64::MAX));
+        next.min(Micros(now.0 + waits))
+    }
+
+    fn take(&mut self, asked: Asked) {
+        match asked {
+            Asked::Now(reply) => self.push(None, Some(Reply::text(reply))),
+            Asked::Request(request) if self.beyond => self.refuse(request.class),
+            Asked::Request(request) => {
+                let (id, class) = (self.context.number(), request.class);
+                let slot = self.first + self.slots.len() as u64;
+                let ticket = Ticket { slot, to: self.answers.clone(), class };
+                match self.module.try_send(Mail::Take(id, request, ticket)) {
+                    Ok(()) => self.push(Some(id), None),
+                    Err(_) => self.refuse(class),
+                }
+            }
+        }
+        if self.beyond {
+            self.closing = Some(Reason::Bound);
+        }
+    }
+
+    /// Whether the connection is to end now, and why.
+    pub fn ends(&self, wire: &Wire) -> Option<Reason> {
+        let context = &self.context;
+        let now = context.clock.now();
+        if self.slots.is_empty() && wire.output.is_empty() {
+            if self.closing.is_some() {
+                return self.closing;
+            }
+            // One that has just come brings a request that crossed the closing of another.
+            let brings = wire.carried == 0 && now.0 < self.came.0 + CROSSED;
+            if wire.input.is_empty() && context.lingered() && !brings {
+                return Some(Reason::Stopped);
+            }
+        }
+        // Guards memory and descriptors against clients that ask and do not read.
+        (!wire.output.is_empty()
+            && wire.written == self.went_on.0
+            && now.0 - self.went_on.1 .0 >= self.limits().1)
+            .then_some(Reason::Unread)
+    }
+}
--- /dev/null
+++ b/crates/lichenrudder/src/connect.rs
@@ -0,0 +1,62 @@
+//! New connections to disk boxes, within the descriptors that there are.
+use crate::counts::Count;
+use crate::peer::Work;
+use crate::wire::{Reason, Wire};
+use async_io::Timer;
+use dispatch::Attempt;
+use futures_lite::future;
+use iscsi::initiator::Initiator;
+use oxbowhill::interface::{Ending, Micros};
+
+/// What a reply holds beside its value: the figures and the report.
+const BESIDE: usize = 4096;
+/// What a command may take: one value and its words.
+const COMMAND: usize = resp::LONGEST + 16 * 1024;
+/// A connection to the disk box that counts against the bound while it lives.
+pub struct Connection {
+    /// The connection itself.
+    pub wire: Wire,
+    /// The session on it, for iSCSI.
+    pub session: Option<Initiator>,
+    _count: Count,
+    /// Since when it is free.
+    pub since: Micros,
+    /// The life of its box that it belongs to.
+    pub life: u32,
+}
+
+/// A new connection, or how the attempt ends without one.
+pub async fn connect(work: &Work, attempt: &Attempt) -> Result<Connection, Ending> {
+    let Work { context, place, .. } = work;
+    let Some(address) = place.address.get() else { return Err(Ending::ConnectFailed) };
+    // Guards the module's belief: the front's own bound says nothing about the box. Idle connections make room first.
+    while context.gauges.upstream.get() >= context.upstream_bound() {
+        if !(work.make_room)() {
+            return Err(Ending::Moot);
+        }
+        future::yield_now().await;
+    }
+    let count = Count::up(&context.gauges, |g| &g.upstream);
+    let life = place.life.get();
+    let patience = context.config().settings.connect_timeout.0;
+    let until = match patience {
+        0 => attempt.until,
+        patience => attempt.until.min(Micros(context.clock.now().0 + patience)),
+    };
+    let bounds = (context.longest_value() + BESIDE, COMMAND);
+    let up = async { Wire::connect("box", address, bounds).await.ok() };
+    let late = async {
+        Timer::at(context.clock.instant(until)).await;
+        None
+    };
+    match future::or(up, late).await {
+        Some(wire) => Ok(Connection { wire, session: None, _count: count, since: context.clock.now(), life }),
+        None => {
+            crate::log::line(format_args!(
+                "conn kind=box peer={address} carried=0 reason={}",
+                Reason::ConnectFailed
+            ));
+            Err(Ending::ConnectFailed)
+        }
+    }
+}
--- a/crates/lichenrudder/src/context.rs
+++ b/crates/lichenrudder/src/context.rs
@@ -1,111 +1,114 @@
-//! What the actors share: the executor, the clock, mailboxes, and counts of what is open.
+//! What every actor stands on: the executor, the clock, the configuration in force, how far the program's life has come,
+//! and counts with their bounds. It knows none of the actors: what else one needs is handed to it.
 use crate::clock::Clock;
-use crate::handover::{self, Other};
-use crate::module::Mail;
-use crate::peer::Peer;
-use crate::seats;
+use crate::counts::Gauges;
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use config::Config;
-
-use crate::value::Answer;
-use oxbowhill::interface::{Micros, NodeId, RequestId};
+use oxbowhill::interface::{Micros, RequestId};
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
 
 /// The program's own descriptors: standard streams, polling, signals, listeners with their checks, discovery.
 const OWN: usize = 32;
+/// Descriptors that neither of two processes counts on, for those that both open between two looks.
+const MARGIN: usize = 16;
+
+/// The other process of this front.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Other {
+    /// There is none.
+    #[default]
+    None,
+    /// It came before this one and still serves.
+    Before(usize),
+    /// It came after this one; the number of descriptors that it holds.
+    After(usize),
+}
 
-/// Shared by all actors of the program.
-pub struct Context {
-    /// The one thread's executor.
-    pub executor: LocalExecutor<'static>,
-    /// The clock.
-    pub clock: Clock,
-    config: RefCell<Rc<Config>>,
-    /// The module's mailbox.
-    pub module: Sender<Mail>,
-    /// The peers, by node.
-    pub peers: RefCell<BTreeMap<NodeId, Peer>>,
+/// How far the program's life has come.
+pub struct Life {
     /// Since when the program is to end.
     pub stopping: Cell<Option<Micros>>,
     /// Closed once the program is to end.
     pub stopped: (Sender<()>, Receiver<()>),
-    /// What the connections of clients do.
-    pub seats: RefCell<BTreeMap<u64, Rc<seats::Entry>>>,
-    /// Connections of clients.
-    pub clients: Cell<usize>,
-    /// Connections to disk boxes, with those that are coming up.
-    pub upstream: Cell<usize>,
-    /// Bytes of answers that their clients have not taken yet.
-    pub unsent: Cell<usize>,
-    /// Memory of the rings of clients' connections, beyond what each has in any case.
-    pub rings: Cell<usize>,
-    /// Memory of replies that are coming from disk boxes.
-    pub arriving: Cell<usize>,
     /// Whether requests can be taken on.
     pub serving: Cell<bool>,
-    /// Requests in the core's table.
-    pub open: Cell<usize>,
-    /// Long values that are being passed on.
-    pub passing: Cell<usize>,
-    /// Requests that have no answer yet.
-    pub unanswered: Cell<usize>,
+    /// Whether clients are listened to.
+    pub listening: Cell<bool>,
+    /// Whether discovery was heard since the start.
+    pub heard: Cell<bool>,
+    /// The other process of this front, while one lives.
+    pub other: Cell<Other>,
+}
+
+/// What happened so far, for operators and balancers.
+#[derive(Default)]
+pub struct Tallies {
     /// Answers by class: served, refused, failed.
     pub answers: RefCell<Vec<[u64; 3]>>,
     /// Attempts that were written whole.
     pub relayed: Cell<u64>,
     /// Files that were taken and turned down since the start.
     pub reloads: Cell<(u64, u64)>,
-    /// Disk boxes that operators have taken out.
-    pub bans: RefCell<BTreeSet<NodeId>>,
-    /// As of when.
-    pub banned_at: Cell<i64>,
-    /// Disk boxes that were listed lately, the oldest first.
-    pub listed: RefCell<(BTreeSet<NodeId>, VecDeque<NodeId>)>,
-    /// The other process of this front, while one lives.
-    pub other: Cell<Other>,
-    /// Whether clients are listened to.
-    pub listening: Cell<bool>,
-    /// Whether discovery was heard since the start.
-    pub heard: Cell<bool>,
+    /// Requests in the core's table.
+    pub open: Cell<usize>,
+    /// Requests that have no answer yet.
+    pub unanswered: Cell<usize>,
     /// The share of the last second's requests that were refused, in percent.
     pub refusing: Cell<u64>,
+}
+
+impl Tallies {
+    /// Counts a final answer of a class: served, refused or failed.
+    pub fn answer(&self, class: usize, which: usize) {
+        let mut answers = self.answers.borrow_mut();
+        if answers.len() <= class {
+            answers.resize(class + 1, [0; 3]);
+        }
+        answers[class][which] += 1;
+    }
+
+    /// Counts an attempt that was written whole.
+    pub fn relayed(&self) {
+        self.relayed.set(self.relayed.get() + 1);
+    }
+}
+
+/// Shared by all actors of the program.
+pub struct Context {
+    /// The one thread's executor.
+    pub executor: LocalExecutor<'static>,
+    /// The clock.
+    pub clock: Clock,
+    /// What is open.
+    pub gauges: Rc<Gauges>,
+    /// How far the program's life has come.
+    pub life: Life,
+    /// What happened so far.
+    pub tallies: Tallies,
+    config: RefCell<Rc<Config>>,
     next: Cell<u64>,
 }
 
 impl Context {
-    /// A context without peers.
-    pub fn new(config: Config, module: Sender<Mail>) -> Rc<Context> {
-        Rc::new(Context {
-            executor: LocalExecutor::new(),
-            clock: Clock::start(),
-            config: RefCell::new(Rc::new(config)),
-            module,
-            peers: RefCell::default(),
+    /// A context in which nothing has begun.
+    pub fn new(config: Config) -> Rc<Context> {
+        let life = Life {
             stopping: Cell::new(None),
             stopped: async_channel::bounded(1),
-            seats: RefCell::default(),
-            clients: Cell::new(0),
-            upstream: Cell::new(0),
-            unsent: Cell::new(0),
-            rings: Cell::new(0),
-            arriving: Cell::new(0),
             serving: Cell::new(false),
-            open: Cell::new(0),
-            passing: Cell::new(0),
-            unanswered: Cell::new(0),
-            answers: RefCell::default(),
-            relayed: Cell::new(0),
-            reloads: Cell::new((0, 0)),
-            bans: RefCell::default(),
-            banned_at: Cell::new(0),
-            listed: RefCell::default(),
-            other: Cell::new(Other::None),
             listening: Cell::new(false),
             heard: Cell::new(false),
-            refusing: Cell::new(0),
+            other: Cell::new(Other::None),
+        };
+        Rc::new(Context {
+            executor: LocalExecutor::new(),
+            clock: Clock::start(),
+            gauges: Rc::default(),
+            life,
+            tallies: Tallies::default(),
+            config: RefCell::new(Rc::new(config)),
             next: Cell::new(0),
         })
     }
@@ -120,25 +123,6 @@
         self.config.replace(Rc::new(config));
     }
 
-    /// Counts a final answer of a class.
-    pub fn count_answer(&self, class: usize, answer: &Answer) {
-        let mut answers = self.answers.borrow_mut();
-        if answers.len() <= class {
-            answers.resize(class + 1, [0; 3]);
-        }
-        let which = match answer {
-            Answer::Served(_) => 0,
-            Answer::Refused(_) => 1,
-            Answer::Failed(_) => 2,
-        };
-        answers[class][which] += 1;
-    }
-
-    /// Counts an attempt that was written whole.
-    pub fn count_relayed(&self) {
-        self.relayed.set(self.relayed.get() + 1);
-    }
-
     /// A number for a request, never used again.
     pub fn number(&self) -> RequestId {
         self.next.set(self.next.get() + 1);
@@ -162,33 +146,37 @@
     /// serves their clients.
     pub fn lingered(&self) -> bool {
         let linger = if self.followed() { 0 } else { self.linger() };
-        self.stopping.get().is_some_and(|at| self.clock.now().0 >= at.0 + linger)
+        self.life.stopping.get().is_some_and(|at| self.clock.now().0 >= at.0 + linger)
     }
 
     /// Whether another process has come that takes over.
     pub fn followed(&self) -> bool {
-        matches!(self.other.get(), Other::After(_))
-    }
-
-    /// Descriptors that are held.
-    pub fn held(&self) -> usize {
-        OWN + self.clients.get() + self.upstream.get()
+        matches!(self.life.other.get(), Other::After(_))
     }
 
     /// When the program ends: by when everything must be answered.
     pub fn answer_by(&self) -> Option<Micros> {
-        self.stopping.get().map(|at| Micros(at.0 + self.linger() + 800_000))
+        self.life.stopping.get().map(|at| Micros(at.0 + self.linger() + 800_000))
     }
 
-    /// Descriptors that may be held in all.
+    /// Descriptors that are held.
+    pub fn held(&self) -> usize {
+        OWN + self.gauges.clients.get() + self.gauges.upstream.get()
+    }
+
+    /// Descriptors that may be held in all: what another process does not hold, and a quarter at least.
     fn descriptors(&self) -> usize {
-        handover::descriptors(self.other.get(), self.config.borrow().limits.sockets.min(1024))
+        let all = self.config.borrow().limits.sockets.min(1024);
+        match self.life.other.get() {
+            Other::None => all,
+            Other::Before(held) | Other::After(held) => all.saturating_sub(held + MARGIN).max(all / 4),
+        }
     }
 
     /// Memory that counts, in bytes; a half while there are two processes.
     pub fn memory(&self) -> usize {
         let all = self.config.borrow().limits.memory_mb.min(192) as usize * 1024 * 1024;
-        if self.other.get() == Other::None {
+        if self.life.other.get() == Other::None {
             all
         } else {
             all / 2
@@ -222,7 +210,7 @@
     /// With what the core holds, its bodies once more on the way to boxes, and what waits unsent that makes a half;
     /// replies that are coming may take a quarter.
     pub fn rings_full(&self) -> bool {
-        self.rings.get() > self.unsent_bound()
+        self.gauges.rings.get() > self.unsent_bound()
     }
 
     /// The longest value that a disk box may give: a thirty-second of the memory, and 64 KiB at least.
@@ -232,7 +220,7 @@
 
     /// Whether replies that are coming take all that they may: a quarter of the memory.
     pub fn arriving_full(&self) -> bool {
-        self.arriving.get() > 2 * self.unsent_bound()
+        self.gauges.arriving.get() > 2 * self.unsent_bound()
     }
 
     /// Descriptors for disk boxes: what the others leave.
@@ -241,51 +229,3 @@
         (all - OWN.min(all / 2)).saturating_sub(self.client_bound() + self.beyond_bound()).max(1)
     }
 }
-
-/// Memory that counts while this lives.
-pub struct Weight {
-    context: Rc<Context>,
-    which: fn(&Context) -> &Cell<usize>,
-    bytes: usize,
-}
-
-impl Weight {
-    /// Nothing yet.
-    pub fn new(context: &Rc<Context>, which: fn(&Context) -> &Cell<usize>) -> Weight {
-        Weight { context: context.clone(), which, bytes: 0 }
-    }
-
-    /// So many bytes from now on.
-    pub fn set(&mut self, bytes: usize) {
-        let (sum, before) = ((self.which)(&self.context), std::mem::replace(&mut self.bytes, bytes));
-        sum.set(sum.get() - before + bytes);
-    }
-}
-
-impl Drop for Weight {
-    fn drop(&mut self) {
-        self.set(0);
-    }
-}
-
-/// Counts one thing while it lives.
-pub struct Count {
-    context: Rc<Context>,
-    which: fn(&Context) -> &Cell<usize>,
-}
-
-impl Count {
-    /// Counts one up.
-    pub fn up(context: &Rc<Context>, which: fn(&Context) -> &Cell<usize>) -> Count {
-        let count = which(context);
-        count.set(count.get() + 1);
-        Count { context: context.clone(), which }
-    }
-}
-
-impl Drop for Count {
-    fn drop(&mut self) {
-        let count = (self.which)(&self.context);
-        count.set(count.get() - 1);
-    }
-}
--- a/crates/lichenrudder/src/handover.rs
+++ b/crates/lichenrudder/src/handover.rs
@@ -3,53 +3,20 @@
 //! live they share the machine, the limits of volumes and what cold boxes bear: each counts on a half of these, and on
 //! the descriptors that the other does not hold. What operators have banned goes over in a file too.
 use crate::bans;
-use crate::context::Context;
-use crate::module::Mail;
+use crate::boxes::Boxes;
+use crate::context::{Context, Other};
+use crate::files::{beside, path};
+use crate::mail::{Mail, Module};
 use async_io::Timer;
-use oxbowhill::interface::Settings;
 use std::fs::{File, OpenOptions, TryLockError};
 use std::io::{Seek, Write};
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 
 /// How often it looks for the other. Until it has seen it, it sends what limits allow a whole front; the rule's slack
 /// is what they allow in 150 ms.
 const LOOK: Duration = Duration::from_millis(50);
-/// Descriptors that neither counts on, for those that both open between two looks.
-const MARGIN: usize = 16;
-
-/// The other process.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Other {
-    /// There is none.
-    #[default]
-    None,
-    /// It came before this one and still serves.
-    Before(usize),
-    /// It came after this one; the number of descriptors that it holds.
-    After(usize),
-}
-
-/// What the names of all files begin with that this front keeps for the process that follows; none without `TMPDIR`.
-pub fn path(context: &Context) -> Option<PathBuf> {
-    let folder = std::env::var_os("TMPDIR").filter(|f| !f.is_empty())?;
-    let config = context.config();
-    let at = config.listen.or(config.iscsi.as_ref().map(|i| i.listen)).map(|a| a.to_string());
-    let name = format!("{}-{}", config.name, at.unwrap_or_default());
-    let name: String = name.chars().map(|c| if c.is_ascii_alphanumeric() { c } else { '_' }).collect();
-    Some(PathBuf::from(folder).join(format!("lichenrudder-{name}")))
-}
-
-/// The files of a front.
-pub fn beside(front: &Path) -> Vec<PathBuf> {
-    let own = |p: &PathBuf| {
-        let name = p.file_name().and_then(|n| n.to_str()).and_then(|n| n.split_once('.'));
-        name.is_some_and(|(n, _)| front.file_name().is_some_and(|own| own == n))
-    };
-    let files = front.parent().and_then(|folder| std::fs::read_dir(folder).ok());
-    files.into_iter().flatten().flatten().map(|e| e.path()).filter(own).collect()
-}
 
 /// This process's own file.
 pub struct Claim {
@@ -114,7 +81,7 @@
 }
 
 /// Looks for the other process until this one ends, and puts in force what follows from it.
-pub async fn run(context: Rc<Context>, mut claim: Claim) {
+pub async fn run(context: Rc<Context>, module: Module, boxes: Rc<Boxes>, mut claim: Claim) {
     loop {
         let held = context.held();
         // Guards everything else: a disk may take its time, and the one thread must not wait for it.
@@ -126,34 +93,15 @@
         });
         let (back, found, bans) = looked.await;
         claim = back;
-        let before = context.other.replace(found);
+        let before = context.life.other.replace(found);
         if std::mem::discriminant(&before) != std::mem::discriminant(&found) {
             crate::log::line(format_args!("handover other={found:?}"));
-            let _ = context.module.send(Mail::Share).await;
+            let _ = module.send(Mail::Share).await;
         }
         // The calls of operators may reach either; a ban must hold for both.
-        if bans::take_over(&context, bans) {
-            bans::apply(&context).await;
+        if boxes.take_over(bans) {
+            boxes.apply().await;
         }
         Timer::after(LOOK).await;
     }
 }
-
-/// The settings as they count for this process.
-pub fn part(context: &Context, settings: &Settings) -> Settings {
-    let mut settings = settings.clone();
-    // Guards the rules on limits and on cold boxes, which hold for both together.
-    if context.other.get() != Other::None {
-        settings.plans.iter_mut().for_each(|plan| plan.limit_rate /= 2.0);
-        settings.cold.units /= 2.0;
-    }
-    settings
-}
-
-/// Of so many descriptors, those that this process may hold: what the other does not, and a quarter at least.
-pub fn descriptors(other: Other, all: usize) -> usize {
-    match other {
-        Other::None => all,
-        Other::Before(held) | Other::After(held) => all.saturating_sub(held + MARGIN).max(all / 4),
-    }
-}
--- /dev/null
+++ b/crates/lichenrudder/src/iscsi_request.rs
@@ -0,0 +1,52 @@
+//! Commands of initiators as requests of the core, and its answers as their outcomes.
+use crate::context::Context;
+use crate::value::Answer;
+use config::Iscsi;
+use dispatch::{Bytes, Extent, Request};
+use iscsi::scsi::Sense;
+use iscsi::target::Outcome;
+use oxbowhill::interface::Micros;
+
+/// A command as a request of the core; none where the configuration does not have what it names.
+pub fn request(
+    context: &Context,
+    iscsi: &Iscsi,
+    lun: u8,
+    lba: u64,
+    blocks: u32,
+    body: Option<Bytes>,
+) -> Option<Request> {
+    let lun = iscsi.luns.iter().find(|l| l.lun == lun)?;
+    let config = context.config();
+    let name = if body.is_some() { &lun.write_class } else { &lun.read_class };
+    let class = config.class(name)?;
+    let wait = lun.deadline_ms.map_or(config.classes[class].deadline.0, |ms| ms.saturating_mul(1000) as i64);
+    // The module reckons with requests of that size at most.
+    let most = (config.settings.most_units as u32).max(1);
+    Some(Request {
+        name: format!("{:016x}", context.number().0).into(),
+        class,
+        plan: config.plan(&lun.plan)?,
+        write: body.is_some(),
+        piece: format!("{:016x}", lba / u64::from(lun.piece_blocks)).into(),
+        volume: lun.volume.as_str().into(),
+        units: blocks.div_ceil(lun.unit_blocks).clamp(1, most),
+        shard: Some(lun.shard),
+        hosts: lun.hosts,
+        extra: "".into(),
+        body,
+        piecemeal: false,
+        extent: Some(Extent { first: lba, blocks }),
+        until: Micros(context.clock.now().0 + wait),
+    })
+}
+
+/// What an answer of the core means to an initiator.
+pub fn outcome(answer: &Answer, write: bool) -> Outcome<'_> {
+    match answer {
+        Answer::Served(value) => Outcome::Good(value.whole()),
+        Answer::Refused(wait) => Outcome::Busy(wait.map(|w| (w.0.max(0) as u64).div_ceil(1000))),
+        Answer::Failed(_) if write => Outcome::Failed(Sense::WRITE_FAILED),
+        Answer::Failed(_) => Outcome::Failed(Sense::READ_FAILED),
+    }
+}
--- /dev/null
+++ b/crates/lichenrudder/src/iscsi_session.rs
@@ -0,0 +1,249 @@
+//! A session of an initiator, without its connection: its reads and writes as requests of the core, and back.
+use crate::context::Context;
+use crate::iscsi_request::{outcome, request};
+use crate::mail::{Mail, Module, Ticket};
+use crate::record::{Key, Note};
+use crate::value::Answer;
+use crate::wire::{Reason, Wire};
+use async_channel::{Receiver, Sender};
+use config::Iscsi;
+use dispatch::{Bytes, Request};
+use iscsi::target::{Event, Shown, Target};
+use oxbowhill::interface::{Micros, RequestId};
+use std::cell::RefCell;
+use std::collections::{BTreeMap, VecDeque};
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::rc::Rc;
+
+/// What one answer may take on the wire, with all its heads.
+pub const ANSWER: usize = iscsi::LONGEST + 16 * 1024;
+
+/// Initiator and ISID.
+type Name = (Rc<str>, [u8; 6]);
+
+/// A number of its own for each session, and what is closed when another replaces it.
+type Names = RefCell<BTreeMap<Name, (u64, Sender<()>)>>;
+
+/// What all sessions share.
+pub struct Front {
+    /// What every actor stands on.
+    pub context: Rc<Context>,
+    /// The module's mailbox.
+    pub module: Module,
+    /// The front's section of the configuration.
+    pub iscsi: Iscsi,
+    /// What initiators are shown.
+    pub shown: Rc<Shown>,
+    /// The record of writes.
+    pub record: Sender<Note>,
+    /// The sessions that are there.
+    pub sessions: Names,
+}
+
+/// A read or write that is on its way.
+struct Work {
+    tag: u32,
+    write: bool,
+    read: Option<RequestId>,
+    key: Option<Key>,
+}
+
+/// A session's side toward the core, without its connection.
+pub struct Session {
+    front: Rc<Front>,
+    pub target: Target,
+    /// A number of its own among the sessions of one name.
+    own: u64,
+    pub name: Option<Name>,
+    /// Closed once another session takes its place.
+    pub replaced: (Sender<()>, Receiver<()>),
+    answers: Sender<(u64, Answer)>,
+    works: BTreeMap<u64, Work>,
+    next: u64,
+    pub ready: VecDeque<(u64, Answer)>,
+    unacknowledged: VecDeque<(u32, Key)>,
+    closing: Option<Reason>,
+}
+
+impl Session {
+    pub fn new(front: Rc<Front>, answers: Sender<(u64, Answer)>) -> Session {
+        Session {
+            target: Target::new(front.shown.clone(), front.context.session()),
+            own: front.context.number().0,
+            name: None,
+            replaced: async_channel::bounded(1),
+            answers,
+            works: BTreeMap::new(),
+            next: 0,
+            ready: VecDeque::new(),
+            unacknowledged: VecDeque::new(),
+            closing: None,
+            front,
+        }
+    }
+
+    /// Answers what is ready, as far as there is room.
+    pub fn answer(&mut self, wire: &mut Wire) {
+        let mut out = Vec::new();
+        while wire.output.room() >= ANSWER {
+            let Some((slot, answer)) = self.ready.pop_front() else { break };
+            let Some(work) = self.works.remove(&slot) else { continue };
+            let status = self.target.answer(work.tag, outcome(&answer, work.write), &mut out);
+            if let (Some(status), Some(key)) = (status, work.key) {
+                self.unacknowledged.push_back((status, key));
+            }
+            wire.output.push(&out);
+            out.clear();
+        }
+    }
+
+    /// Takes in the PDUs that have come, as far as there is room for what they may have us say.
+    pub async fn read(&mut self, wire: &mut Wire) {
+        let (mut out, mut events) = (Vec::new(), Vec::new());
+        while self.closing.is_none() && wire.output.room() >= ANSWER {
+            let full = wire.input.room() == 0;
+            match self.target.read(wire.input.contiguous(), &mut out, &mut events) {
+                Ok(0) if full => self.closing = Some(Reason::Protocol),
+                Ok(0) => break,
+                Ok(used) => {
+                    wire.input.consume(used);
+                    wire.carried += 1;
+                }
+                Err(_) => self.closing = Some(Reason::Protocol),
+            }
+            for event in events.drain(..) {
+                self.act(event).await;
+            }
+            wire.output.push(&out);
+            out.clear();
+        }
+    }
+
+    async fn act(&mut self, event: Event) {
+        match event {
+            Event::LoggedIn { initiator, isid } => {
+                // A login under the name of a session that is there takes its place.
+                let name: Name = (initiator.into(), isid);
+                let entry = (self.own, self.replaced.0.clone());
+                if let Some((_, old)) = self.front.sessions.borrow_mut().insert(name.clone(), entry) {
+                    old.close();
+                }
+                self.name = Some(name);
+            }
+            Event::Read { tag, lun, lba, blocks } => {
+                let id = self.front.context.number();
+                let request = request(&self.front.context, &self.front.iscsi, lun, lba, blocks, None);
+                let ticket = self.begin(Work { tag, write: false, read: Some(id), key: None }, &request);
+                self.hand_over(ticket, request, |front, request, ticket| {
+                    front.module.try_send(Mail::Take(id, request, ticket)).is_ok()
+                });
+            }
+            Event::Write { tag, lun, lba, data } => {
+                let (initiator, isid) = self.name.clone().unwrap_or_default();
+                let mut digest = DefaultHasher::new();
+                (lun, lba, &data).hash(&mut digest);
+                let key = (initiator, isid, tag, digest.finish());
+                let blocks = (data.len() / iscsi::BLOCK) as u32;
+                let request = request(
+                    &self.front.context,
+                    &self.front.iscsi,
+                    lun,
+                    lba,
+                    blocks,
+                    Some(Bytes::from(data)),
+                );
+                let work = Work { tag, write: true, read: None, key: Some(key.clone()) };
+                let ticket = self.begin(work, &request);
+                self.hand_over(ticket, request, |front, request, ticket| {
+                    front.record.try_send(Note::Begin(key, request, ticket)).is_ok()
+                });
+            }
+            Event::Aborted(tag) => {
+                let slot = self.works.iter().find(|(_, w)| w.tag == tag).map(|(s, _)| *s);
+                if let Some(id) = slot.and_then(|s| self.works.remove(&s)).and_then(|w| w.read) {
+                    let _ = self.front.module.send(Mail::Left(id)).await;
+                }
+            }
+            Event::Acknowledged(upto) => {
+                // Numbers wrap round: a half of them counts as before.
+                let before = |n: u32| upto.wrapping_sub(n).wrapping_sub(1) < 1 << 31;
+                while self.unacknowledged.front().is_some_and(|(n, _)| before(*n)) {
+                    let Some((_, key)) = self.unacknowledged.pop_front() else { break };
+                    let _ = self.front.record.send(Note::Acknowledged(key)).await;
+                }
+            }
+            Event::Close => self.closing = Some(Reason::Done),
+        }
+    }
+
+    fn begin(&mut self, work: Work, request: &Option<Request>) -> Ticket {
+        let class = request.as_ref().map_or(0, |r| r.class);
+        let slot = self.next;
+        self.next += 1;
+        self.works.insert(slot, work);
+        Ticket { slot, to: self.answers.clone(), class }
+    }
+
+    /// Hands a request over; where that can't be done it did not run, and has its answer at once.
+    fn hand_over(
+        &mut self,
+        ticket: Ticket,
+        request: Option<Request>,
+        over: impl FnOnce(&Front, Request, Ticket) -> bool,
+    ) {
+        let slot = ticket.slot;
+        let answer = match request {
+            None => Answer::Failed("not in the configuration"),
+            Some(request) => {
+                if over(&self.front, request, ticket) {
+                    return;
+                }
+                Answer::Refused(None)
+            }
+        };
+        self.ready.push_back((slot, answer));
+    }
+
+    /// Whether the session is to end now, and why.
+    pub fn ends(&self, wire: &Wire, begun: Micros) -> Option<Reason> {
+        let context = &self.front.context;
+        let (now, written) = (context.clock.now(), wire.output.is_empty());
+        if written && self.closing.is_some() {
+            return self.closing;
+        }
+        if written && self.ready.is_empty() && !self.target.busy() && context.lingered() {
+            return Some(Reason::Stopped);
+        }
+        // Guards sessions against connections that never log in.
+        let login = (context.config().clients.command_s * 1e6) as i64;
+        (self.name.is_none() && now.0 - begun.0 >= login).then_some(Reason::Idle)
+    }
+
+    /// Why the session is to end where neither a half PDU nor what waits to be read has gone on in time.
+    // Guards memory and descriptors, as it does on the other front.
+    pub fn stands_still(&self, wire: &Wire, went_on: &mut (u64, u64, Micros)) -> Option<Reason> {
+        let (now, clients) = (self.front.context.clock.now(), self.front.context.config().clients);
+        let nothing = wire.input.is_empty() && wire.output.is_empty();
+        if nothing || (went_on.0, went_on.1) != (wire.carried, wire.written) {
+            *went_on = (wire.carried, wire.written, now);
+        }
+        let (limit, reason) = match wire.output.is_empty() {
+            true => (clients.command_s, Reason::Protocol),
+            false => (clients.unread_s, Reason::Unread),
+        };
+        (now.0 - went_on.2 .0 >= (limit * 1e6) as i64).then_some(reason)
+    }
+
+    pub async fn end(self) {
+        if let Some(name) = &self.name {
+            let mut sessions = self.front.sessions.borrow_mut();
+            if sessions.get(name).is_some_and(|s| s.0 == self.own) {
+                sessions.remove(name);
+            }
+        }
+        // Reads nobody waits for any more; a write goes on, and its result is on the record.
+        for id in self.works.values().filter_map(|w| w.read) {
+            let _ = self.front.module.send(Mail::Left(id)).await;
+        }
+    }
+}
--- a/crates/lichenrudder/src/list.rs
+++ b/crates/lichenrudder/src/list.rs
@@ -1,8 +1,7 @@
 //! The list's actor: one watch at discovery, resumed from the last version. The module paces its calls.
-use crate::bans;
+use crate::boxes::Boxes;
 use crate::context::Context;
-use crate::module::Mail;
-use crate::peer;
+use crate::mail::{Ask, Mail, Module};
 use crate::wire::{Moved, Reason, Wire};
 use async_channel::Receiver;
 use async_io::Timer;
@@ -24,28 +23,20 @@
 const LINE: usize = 1024 * 1024;
 const BOUNDS: (usize, usize) = (64 * 1024, 4096);
 
-/// The list's mail.
-pub enum Ask {
-    /// The module asks for the watch, perhaps anew.
-    Watch,
-    /// Discovery has another address, or there is none any more.
-    Moved,
-}
-
 /// Runs until the program ends, which closes the mailbox.
-pub async fn run(context: Rc<Context>, asked: Receiver<Ask>) {
+pub async fn run(context: Rc<Context>, module: Module, boxes: Rc<Boxes>, asked: Receiver<Ask>) {
     let mut asked = Box::pin(asked);
     let version = Cell::new(context.config().known.generation);
     while asked.next().await.is_some() {
         // Read each time: a reload may have given another address, which is asked from the version that is held.
         while let Some(discovery) = context.config().discovery {
-            match watch(&context, discovery, &version, &mut asked).await {
+            match watch(&context, &module, &boxes, discovery, &version, &mut asked).await {
                 Reason::Replaced => {}
                 Reason::Stopped => return,
                 _ => break,
             }
         }
-        let _ = context.module.send(Mail::News(ListNews::Failed)).await;
+        let _ = module.send(Mail::News(ListNews::Failed)).await;
     }
 }
 
@@ -65,6 +56,8 @@
 /// Follows one watch until it ends; what it told counts.
 async fn watch(
     context: &Rc<Context>,
+    module: &Module,
+    boxes: &Boxes,
     discovery: SocketAddr,
     version: &Cell<i64>,
     asked: &mut Pin<Box<Receiver<Ask>>>,
@@ -136,9 +129,9 @@
             start += end + 1;
             if line.iter().all(u8::is_ascii_whitespace) {
                 // Guards discovery: a watch with nothing to tell is up all the same, and not to be asked for again.
-                context.heard.set(true);
+                context.life.heard.set(true);
                 if !std::mem::replace(&mut told, true) {
-                    let _ = context.module.send(Mail::News(ListNews::Delta(vec![]))).await;
+                    let _ = module.send(Mail::News(ListNews::Delta(vec![]))).await;
                 }
                 continue;
             }
@@ -147,11 +140,9 @@
                     wire.carried += 1;
                     told = true;
                     version.set(news.generation);
-                    // Peers first: what the module has started and they have not must know of a drain.
-                    peer::update(context, &news.targets, news.whole);
-                    let _ = context.module.send(Mail::News(bans::news(context, &news))).await;
-                    context.serving.set(true);
-                    context.heard.set(true);
+                    let _ = module.send(Mail::News(boxes.news(&news))).await;
+                    context.life.serving.set(true);
+                    context.life.heard.set(true);
                 }
                 Err(e) => {
                     crate::log::line(format_args!("list error={e}"));
--- a/crates/lichenrudder/src/module.rs
+++ b/crates/lichenrudder/src/module.rs
@@ -1,58 +1,22 @@
 //! The module's actor: takes mail from fronts, peers and the list, and carries out what the core says.
-use crate::context::Context;
-use crate::handover::part;
-use crate::list::Ask;
-use crate::peer::PeerMail;
-use crate::value::{Answer, Ended, Value};
+use crate::boxes::Boxes;
+use crate::context::{Context, Other};
+use crate::mail::{Ask, Mail, Ticket};
+use crate::value::{Answer, Value};
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
-use dispatch::{Bound, Core, Counters, Effect, Request};
+use dispatch::{Bound, Core, Counters, Effect};
 use futures_lite::{future, StreamExt};
-use oxbowhill::interface::{Ending, ListNews, NodeId, RequestId, Settings, SettingsError};
+use oxbowhill::interface::{Ending, Settings, SettingsError};
 use std::rc::Rc;
 
-/// Where an answer goes: a front's connection, and the place in it.
-#[derive(Clone, Debug)]
-pub struct Ticket {
-    /// The place.
-    pub slot: u64,
-    /// The connection's mailbox.
-    pub to: Sender<(u64, Answer)>,
-    /// The request's class.
-    pub class: usize,
-}
-
-/// The module's mail.
-pub enum Mail {
-    /// A front has taken a request.
-    Take(RequestId, Request, Ticket),
-    /// Its client has gone.
-    Left(RequestId),
-    /// An attempt has ended.
-    Ended(Ended),
-    /// Units served for a volume through other fronts, told after a long value.
-    Told(Rc<str>, f64),
-    /// News of the list.
-    News(ListNews),
-    /// The file was read again: its settings, or none where it was faulty.
-    Reload(Option<Box<Settings>>),
-    /// Another process of this front has come or gone.
-    Share,
-    /// Which disk boxes does the module keep from for now?
-    Avoided(Sender<Vec<NodeId>>),
-    /// Print the counters.
-    Print,
-}
-
-/// The most mail that may wait.
-pub const MAILBOX: usize = 8192;
-
 /// The most requests that the core holds.
 pub const REQUESTS: usize = 4096;
 
 /// Runs until the program ends.
 pub async fn run(
     context: Rc<Context>,
+    boxes: Rc<Boxes>,
     mail: Receiver<Mail>,
     watch: Sender<Ask>,
 ) -> Result<(), SettingsError> {
@@ -82,7 +46,7 @@
                 Mail::Take(id, mut request, ticket) => {
                     // Guards against a kill that finds something unanswered.
                     // One that is passed on while it comes may still be coming then: it is taken whole, in time.
-                    request.piecemeal &= context.stopping.get().is_none();
+                    request.piecemeal &= context.life.stopping.get().is_none();
                     request.until = context.answer_by().map_or(request.until, |by| by.min(request.until));
                     core.take(now, id, request, ticket);
                 }
@@ -99,23 +63,23 @@
                 Mail::Share => put_in_force(&context, &mut core, &context.config().settings),
                 Mail::Print => {
                     let (nodes, volumes) = core.known();
-                    let (open, boxes) = (core.open(), context.peers.borrow().len());
+                    let (open, boxes) = (core.open(), boxes.len());
                     crate::log::line(format_args!(
                         "counters {} open={open} boxes={boxes} nodes={nodes} volumes={volumes}",
                         core.counters
                     ))
                 }
             }
-            carry_out(&context, &mut core, &watch);
+            carry_out(&context, &boxes, &mut core, &watch);
             next = mail.try_recv().ok().map(Some);
         }
-        carry_out(&context, &mut core, &watch);
-        context.open.set(core.open());
-        context.unanswered.set(core.unanswered());
+        carry_out(&context, &boxes, &mut core, &watch);
+        context.tallies.open.set(core.open());
+        context.tallies.unanswered.set(core.unanswered());
         if now.0 - second.0 >= 1_000_000 {
             let taken = core.counters.taken - before.taken;
             let refused = core.counters.refused + core.counters.bounded - before.refused - before.bounded;
-            context.refusing.set((100 * refused).checked_div(taken).unwrap_or(0));
+            context.tallies.refusing.set((100 * refused).checked_div(taken).unwrap_or(0));
             (second, before) = (now, core.counters.clone());
         }
     }
@@ -133,25 +97,39 @@
     }
 }
 
-fn carry_out(context: &Context, core: &mut Core<Ticket, Value>, watch: &Sender<Ask>) {
+fn carry_out(context: &Context, boxes: &Boxes, core: &mut Core<Ticket, Value>, watch: &Sender<Ask>) {
     while let Some(effect) = core.effects.pop_front() {
         match effect {
             Effect::Start(attempt) => {
-                let mailbox = context.peers.borrow().get(&attempt.node).map(|p| p.mail.clone());
-                let sent = mailbox.is_some_and(|m| m.try_send(PeerMail::Start(attempt.clone())).is_ok());
                 // Guards against an attempt that is lost at a full mailbox: it was not sent, and ends so. That says
                 // nothing about the box.
-                if !sent {
+                if !boxes.start(attempt.clone()) {
                     let now = context.clock.now();
                     core.ended(now, attempt.ended(Ending::Moot));
                 }
             }
             // The connection's mailbox has room for every answer that it is owed; a closed one has gone.
             Effect::Answer(ticket, answer) => {
-                context.count_answer(ticket.class, &answer);
+                let which = match answer {
+                    Answer::Served(_) => 0,
+                    Answer::Refused(_) => 1,
+                    Answer::Failed(_) => 2,
+                };
+                context.tallies.answer(ticket.class, which);
                 drop(ticket.to.try_send((ticket.slot, answer)));
             }
             Effect::Watch => drop(watch.try_send(Ask::Watch)),
         }
     }
 }
+
+/// The settings as they count for this process.
+pub fn part(context: &Context, settings: &Settings) -> Settings {
+    let mut settings = settings.clone();
+    // Guards the rules on limits and on cold boxes, which hold for both together.
+    if context.life.other.get() != Other::None {
+        settings.plans.iter_mut().for_each(|plan| plan.limit_rate /= 2.0);
+        settings.cold.units /= 2.0;
+    }
+    settings
+}
--- a/crates/lichenrudder/src/operators.rs
+++ b/crates/lichenrudder/src/operators.rs
@@ -1,8 +1,9 @@
 //! Where operators call, over HTTP/1.1 with one call to a connection: whether this process is ready, its figures,
 //! and taking a disk box out or putting it back.
-use crate::bans;
+use crate::bans::Bans;
+use crate::boxes::Boxes;
 use crate::context::Context;
-use crate::module::Mail;
+use crate::mail::{Mail, Module};
 use async_io::Timer;
 use futures_lite::future;
 use std::fmt::Write;
@@ -13,16 +14,30 @@
 const ASKED: Duration = Duration::from_millis(300);
 const FOLDER: &str = "/v1/chunk-servers/";
 
+/// What operators' calls are about.
+#[derive(Clone)]
+pub struct Operators {
+    /// What every actor stands on.
+    pub context: Rc<Context>,
+    /// The module's mailbox.
+    pub module: Module,
+    /// The disk boxes.
+    pub boxes: Rc<Boxes>,
+    /// What is taken out by hand.
+    pub bans: Rc<Bans>,
+}
+
 /// The answer to one call.
-pub async fn answer(context: &Rc<Context>, method: &str, target: &str) -> Vec<u8> {
+pub async fn answer(on: &Operators, method: &str, target: &str) -> Vec<u8> {
+    let context = &on.context;
     let target = target.split('?').next().unwrap_or_default();
     let call = target.strip_prefix(FOLDER).and_then(|rest| rest.rsplit_once('/'));
     match (method, target, call) {
         ("GET", "/v1/readyz", _) if ready(context) => http::answer(200, "OK", "ready\n"),
         ("GET", "/v1/readyz", _) => http::answer(503, "Service Unavailable", "not ready\n"),
-        ("GET", "/v1/metrics", _) => http::answer(200, "OK", &figures(context).await),
+        ("GET", "/v1/metrics", _) => http::answer(200, "OK", &figures(on).await),
         ("POST", _, Some((id, what @ ("suspend" | "resume")))) => {
-            match bans::set(context, &http::unescape(id), what == "suspend").await {
+            match on.boxes.set(&http::unescape(id), what == "suspend").await {
                 true => http::answer(200, "OK", "done\n"),
                 false => http::answer(404, "Not Found", "no such chunk server was listed\n"),
             }
@@ -40,13 +55,14 @@
 
 /// Whether this process serves: it listens, knows the boxes, and is not about to end.
 fn ready(context: &Context) -> bool {
-    context.listening.get() && context.serving.get() && context.stopping.get().is_none()
+    context.life.listening.get() && context.life.serving.get() && context.life.stopping.get().is_none()
 }
 
 /// The figures, one on a line.
-async fn figures(context: &Rc<Context>) -> String {
+async fn figures(on: &Operators) -> String {
+    let context = &on.context;
     let (to, from) = async_channel::bounded(1);
-    let _ = context.module.send(Mail::Avoided(to)).await;
+    let _ = on.module.send(Mail::Avoided(to)).await;
     let late = async {
         Timer::after(ASKED).await;
         vec![]
@@ -54,23 +70,22 @@
     let mut away = future::or(async { from.recv().await.unwrap_or_default() }, late).await;
     let mut out = String::new();
     let config = context.config();
-    let answers = context.answers.borrow();
+    let answers = context.tallies.answers.borrow();
     for (i, class) in config.classes.iter().enumerate() {
         let [served, refused, failed] = answers.get(i).copied().unwrap_or_default();
         for (what, count) in [("fulfilled", served), ("throttled", refused), ("faulted", failed)] {
             let _ = writeln!(out, "app.operations.{}.{what}={count}", class.name);
         }
     }
-    let peers = context.peers.borrow();
-    away.extend(context.bans.borrow().iter().cloned());
+    away.extend(on.bans.all());
     away.sort();
     away.dedup();
-    away.retain(|node| peers.contains_key(node));
-    let (accepted, invalid) = context.reloads.get();
+    away.retain(|node| on.boxes.contains(node));
+    let (accepted, invalid) = context.tallies.reloads.get();
     for (what, count) in [
-        ("relayed", context.relayed.get()),
-        ("open_requests", (context.unanswered.get() + context.passing.get()) as u64),
-        ("registry_entries", peers.len() as u64),
+        ("relayed", context.tallies.relayed.get()),
+        ("open_requests", (context.tallies.unanswered.get() + context.gauges.passing.get()) as u64),
+        ("registry_entries", on.boxes.len() as u64),
         ("out_of_rotation", away.len() as u64),
         ("cfg_accepted", accepted),
         ("cfg_invalid", invalid),
--- a/crates/lichenrudder/src/record.rs
+++ b/crates/lichenrudder/src/record.rs
@@ -5,7 +5,7 @@
 //! initiator has acknowledged its status, or else for the time in the configuration. A refused write did not
 //! run: it is forgotten, and its reissue is a new try.
 use crate::context::Context;
-use crate::module::{Mail, Ticket};
+use crate::mail::{Mail, Module, Ticket};
 use crate::value::{Answer, Value};
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
@@ -129,7 +129,7 @@
 }
 
 /// Runs until the program ends.
-pub async fn run(context: Rc<Context>, notes: Receiver<Note>, kept: i64) {
+pub async fn run(context: Rc<Context>, module: Module, notes: Receiver<Note>, kept: i64) {
     let (to, answers): (Sender<(u64, Answer)>, _) = async_channel::bounded(MOST);
     let (mut notes, mut answers) = (Box::pin(notes), Box::pin(answers));
     let mut record = Record::new(MOST, kept);
@@ -145,7 +145,7 @@
                 if let Next::Run(number) = record.begin(key, ticket) {
                     let ticket = Ticket { slot: number, to: to.clone(), class: request.class };
                     let mail = Mail::Take(context.number(), request, ticket);
-                    if context.module.try_send(mail).is_err() {
+                    if module.try_send(mail).is_err() {
                         record.answered(context.clock.now(), number, Answer::Refused(None));
                     }
                 }
--- a/crates/lichenrudder/src/seats.rs
+++ b/crates/lichenrudder/src/seats.rs
@@ -4,7 +4,8 @@
 use async_channel::{Receiver, Sender};
 use futures_lite::future;
 use oxbowhill::interface::Micros;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 
 /// A connection on which nothing has come has nothing to lose; where connections are scarce it makes room after this
@@ -27,9 +28,15 @@
     Busy,
 }
 
+/// All places that are taken.
+pub struct Seats {
+    context: Rc<Context>,
+    taken: RefCell<BTreeMap<u64, Rc<Entry>>>,
+}
+
 /// One connection's place, given up when dropped.
 pub struct Seat {
-    context: Rc<Context>,
+    seats: Rc<Seats>,
     number: u64,
     entry: Rc<Entry>,
     /// A letter asks to make room.
@@ -50,19 +57,19 @@
 
 impl Seat {
     /// Takes a place; `patience` is for how long it may stand idle where places are scarce, and nearly none left.
-    pub fn take(context: &Rc<Context>, patience: (Micros, Micros)) -> Seat {
+    pub fn take(seats: &Rc<Seats>, patience: (Micros, Micros)) -> Seat {
         let (ask, asked) = async_channel::bounded(1);
         let entry = Rc::new(Entry {
             doing: Cell::new(Doing::Silent),
             usual: Cell::new(false),
-            since: Cell::new(context.clock.now()),
+            since: Cell::new(seats.context.clock.now()),
             patience,
             asked: Cell::new(false),
             ask,
         });
-        let number = context.number().0;
-        context.seats.borrow_mut().insert(number, entry.clone());
-        Seat { context: context.clone(), number, entry, asked }
+        let number = seats.context.number().0;
+        seats.taken.borrow_mut().insert(number, entry.clone());
+        Seat { seats: seats.clone(), number, entry, asked }
     }
 
     /// Says what the connection does now.
@@ -70,7 +77,7 @@
         let before = self.entry.doing.replace(doing);
         if before != doing {
             self.entry.usual.set(self.entry.usual.get() || before == Doing::Idle);
-            self.entry.since.set(self.context.clock.now());
+            self.entry.since.set(self.seats.context.clock.now());
             self.entry.asked.set(false);
         }
     }
@@ -83,39 +90,48 @@
 
 impl Drop for Seat {
     fn drop(&mut self) {
-        self.context.seats.borrow_mut().remove(&self.number);
+        self.seats.taken.borrow_mut().remove(&self.number);
     }
 }
 
-/// The connection that is to make room: silent ones first, then those that asked once, and of these the one idle for
-/// the longest; none where all are in use or have just been.
-fn longest_idle(context: &Context) -> Option<Rc<Entry>> {
-    let now = context.clock.now();
-    // Guards newcomers, whose requests would fail: it costs less that another client opens one more.
-    let full = context.clients.get() >= context.clients_full();
-    let seats = context.seats.borrow();
-    let may = |e: &&Rc<Entry>| {
-        let stood = now.0 - e.since.get().0;
-        !e.asked.get()
-            && match e.doing.get() {
-                Doing::Silent => stood >= SILENT,
-                Doing::Idle => stood >= if full { e.patience.1 .0 } else { e.patience.0 .0 },
-                Doing::Busy => false,
-            }
-    };
-    let turn = |e: &&Rc<Entry>| (e.doing.get() != Doing::Silent, e.usual.get(), e.since.get());
-    seats.values().filter(may).min_by_key(turn).cloned()
-}
+impl Seats {
+    /// No place is taken yet.
+    pub fn new(context: Rc<Context>) -> Rc<Seats> {
+        Rc::new(Seats { context, taken: RefCell::default() })
+    }
+
+    /// The connection that is to make room: silent ones first, then those that asked once, and of these the one idle for
+    /// the longest; none where all are in use or have just been.
+    fn longest_idle(&self) -> Option<Rc<Entry>> {
+        let context = &self.context;
+        let now = context.clock.now();
+        // Guards newcomers, whose requests would fail: it costs less that another client opens one more.
+        let full = context.gauges.clients.get() >= context.clients_full();
+        let seats = self.taken.borrow();
+        let may = |e: &&Rc<Entry>| {
+            let stood = now.0 - e.since.get().0;
+            !e.asked.get()
+                && match e.doing.get() {
+                    Doing::Silent => stood >= SILENT,
+                    Doing::Idle => stood >= if full { e.patience.1 .0 } else { e.patience.0 .0 },
+                    Doing::Busy => false,
+                }
+        };
+        let turn = |e: &&Rc<Entry>| (e.doing.get() != Doing::Silent, e.usual.get(), e.since.get());
+        seats.values().filter(may).min_by_key(turn).cloned()
+    }
 
-/// Before one more connection is accepted: where connections are scarce, lets others make room, as far as they can.
-// Guards the usual clients against crowds that connect, ask once or never, and stay. It begins well under the bound:
-// clients may count their own connections, and those that only stand would be among them.
-pub async fn room(context: &Context) {
-    while context.clients.get() >= context.client_bound() / SCARCE {
-        let Some(entry) = longest_idle(context) else { return };
-        entry.asked.set(true);
-        let _ = entry.ask.try_send(());
-        // Its own task closes it, and comes before this one.
-        future::yield_now().await;
+    /// Before one more connection is accepted: where connections are scarce, lets others make room, as far as they can.
+    // Guards the usual clients against crowds that connect, ask once or never, and stay. It begins well under the bound:
+    // clients may count their own connections, and those that only stand would be among them.
+    pub async fn room(&self) {
+        let context = &self.context;
+        while context.gauges.clients.get() >= context.client_bound() / SCARCE {
+            let Some(entry) = self.longest_idle() else { return };
+            entry.asked.set(true);
+            let _ = entry.ask.try_send(());
+            // Its own task closes it, and comes before this one.
+            future::yield_now().await;
+        }
     }
 }
--- /dev/null
+++ b/crates/lichenrudder/src/start.rs
@@ -0,0 +1,122 @@
+//! The start: what is shared is made, actors are spawned, listeners opened, in the order in which one needs another.
+use crate::agent::{self, Form};
+use crate::bans::{self, Bans};
+use crate::boxes::Boxes;
+use crate::context::{Context, Other};
+use crate::mail::{Mail, MAILBOX};
+use crate::operators::Operators;
+use crate::seats::Seats;
+use crate::stop::Running;
+use crate::{files, handover, iscsi_front, list, module, platform};
+use async_channel::Receiver;
+use async_io::{Async, Timer};
+use async_signal::{Signal, Signals};
+use oxbowhill::interface::ListNews;
+use rustix::net::{self, sockopt, AddressFamily, SocketFlags, SocketType};
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// A process that follows another waits so long for fresh news of discovery before it serves.
+const FRESH: i64 = 3_000_000;
+/// Connections that may wait to be accepted.
+const BACKLOG: i32 = 1024;
+
+fn bind(key: &str, address: SocketAddr) -> Result<Async<TcpListener>, String> {
+    Async::<TcpListener>::bind(address).map_err(|e| format!("{key}: cannot listen on {address}: {e}"))
+}
+
+/// Listens where another process of this front may listen too.
+fn bind_beside(key: &str, address: SocketAddr) -> Result<Async<TcpListener>, String> {
+    let listen = || -> std::io::Result<Async<TcpListener>> {
+        let family = if address.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
+        let socket = net::socket_with(family, SocketType::STREAM, SocketFlags::CLOEXEC, None)?;
+        sockopt::set_socket_reuseaddr(&socket, true)?;
+        sockopt::set_socket_reuseport(&socket, true)?;
+        net::bind(&socket, &address)?;
+        net::listen(&socket, BACKLOG)?;
+        Async::new(TcpListener::from(socket))
+    };
+    listen().map_err(|e| format!("{key}: cannot listen on {address}: {e}"))
+}
+
+/// Runs the program by what its environment names.
+pub fn start() -> Result<(), String> {
+    let config = config::from_env(|key| std::env::var(key).ok()).map_err(|e| e.to_string())?;
+    let (module, inbox) = async_channel::bounded(MAILBOX);
+    let context = Context::new(config);
+    let bans = Rc::new(Bans::default());
+    let boxes = Boxes::new(context.clone(), module.clone(), bans.clone());
+    let on = Operators { context: context.clone(), module, boxes, bans };
+    async_io::block_on(context.executor.run(serve(on, inbox)))
+}
+
+async fn serve(on: Operators, inbox: Receiver<Mail>) -> Result<(), String> {
+    let Operators { context, module, boxes, bans } = on.clone();
+    let config = context.config();
+    let claim = handover::Claim::make(&context);
+    context.life.other.set(claim.as_ref().map_or(Other::None, handover::Claim::look));
+    let follows = context.life.other.get() != Other::None;
+    let listen = if claim.is_some() { bind_beside } else { bind };
+    if let Some(claim) = claim {
+        let looks = handover::run(context.clone(), module.clone(), boxes.clone(), claim);
+        context.executor.spawn(looks).detach();
+    }
+    let signals =
+        Signals::new([Signal::Term, Signal::Int, Signal::Usr1, Signal::Hup]).map_err(|e| e.to_string())?;
+    let (watch, asked) = async_channel::bounded(4);
+    // Before anything is served: what an earlier process had banned.
+    bans.take_over(files::path(&context).and_then(|front| bans::read(&front)));
+    let running = Running {
+        context: context.clone(),
+        module: module.clone(),
+        boxes: boxes.clone(),
+        watch: watch.clone(),
+    };
+    let cached = |news| match news {
+        ListNews::Full(entries) => ListNews::Cached(entries),
+        news => news,
+    };
+    running.know(&config.known, cached).await;
+    let actor = module::run(context.clone(), boxes.clone(), inbox, watch);
+    context.executor.spawn(actor).detach();
+    let actor = list::run(context.clone(), module.clone(), boxes, asked);
+    context.executor.spawn(actor).detach();
+    context.life.serving.set(!config.known.targets.is_empty());
+    if let Some(at) = config.admin {
+        let listener = bind("admin", at)?;
+        let form = Form::Operators(on);
+        context.executor.spawn(agent::listen(context.clone(), listener, form)).detach();
+    }
+    // Guards clients of a front that follows another, which still serves: they come here once the list is fresh.
+    let patience = context.clock.now().0 + FRESH;
+    while follows
+        && config.discovery.is_some()
+        && !context.life.heard.get()
+        && context.clock.now().0 < patience
+    {
+        Timer::after(Duration::from_millis(5)).await;
+    }
+    let listener = config.listen.map(|a| listen("GW_LISTEN", a)).transpose()?;
+    context.life.listening.set(true);
+    let (name, at, other) = (&config.name, config.listen, context.life.other.get());
+    crate::log::line(format_args!("start name={name} listen={at:?} other={other:?}"));
+    let seats = Seats::new(context.clone());
+    if let Some(listener) = listener {
+        let front = platform::listen(context.clone(), module.clone(), seats.clone(), listener);
+        context.executor.spawn(front).detach();
+    }
+    if let Some(front) = &config.iscsi {
+        let listener = bind("iscsi.listen", front.listen)?;
+        let front = iscsi_front::listen(context.clone(), module, seats, front.clone(), listener);
+        context.executor.spawn(front).detach();
+    }
+    for (key, what, form) in [("agent", &config.agent, Form::Agent), ("health", &config.health, Form::Http)] {
+        if let Some(at) = what {
+            let listener = bind(&format!("{key}.listen"), at.listen)?;
+            context.executor.spawn(agent::listen(context.clone(), listener, form)).detach();
+        }
+    }
+    running.follow(signals).await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/lichenrudder/src/stop.rs
@@ -0,0 +1,123 @@
+//! While the program serves, signals are followed; after SIGTERM it ends once all is answered.
+use crate::boxes::Boxes;
+use crate::context::Context;
+use crate::mail::{Ask, Mail, Module};
+use async_channel::Sender;
+use async_io::Timer;
+use async_signal::{Signal, Signals};
+use futures_lite::{future, StreamExt};
+use oxbowhill::interface::{ListNews, Micros};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// After SIGTERM new connections come for 0.4 s at most; nothing ends before that is over.
+const ACCEPTING: i64 = 800_000;
+/// A request that crossed the closing of its connection is sent again on a new one, which comes in this time.
+const CROSSING: i64 = 300_000;
+/// After SIGTERM nothing that was asked in time is owed for longer than this.
+const LONGEST: i64 = 6_000_000;
+
+/// What signals act on.
+pub struct Running {
+    /// What every actor stands on.
+    pub context: Rc<Context>,
+    /// The module's mailbox.
+    pub module: Module,
+    /// The disk boxes.
+    pub boxes: Rc<Boxes>,
+    /// The list's mailbox.
+    pub watch: Sender<Ask>,
+}
+
+impl Running {
+    /// Reads the file again. A good one is put in force at once, a faulty one changes nothing; either way requests and
+    /// connections stay as they are.
+    async fn reload(&self) {
+        let context = &self.context;
+        let old = context.config();
+        let (accepted, invalid) = context.tallies.reloads.get();
+        let (new, kept) = match old.reload(|key| std::env::var(key).ok()) {
+            Ok(read) => read,
+            Err(e) => {
+                crate::log::line(format_args!("reload error={e}"));
+                context.tallies.reloads.set((accepted, invalid + 1));
+                return drop(self.module.send(Mail::Reload(None)).await);
+            }
+        };
+        for key in kept {
+            crate::log::line(format_args!("reload key={key} needs a restart, and stays as it was"));
+        }
+        crate::log::line(format_args!("reload discovery={:?}", new.discovery));
+        // The module first: whatever a front understands by the new file must mean the same to it.
+        let _ = self.module.send(Mail::Reload(Some(Box::new(new.settings.clone())))).await;
+        let (moved, fixed) = (new.discovery != old.discovery, new.discovery.is_none());
+        let known = new.known.clone();
+        context.configure(new);
+        context.tallies.reloads.set((accepted + 1, invalid));
+        if fixed {
+            self.know(&known, |entries| entries).await;
+            context.life.serving.set(context.life.serving.get() || !known.targets.is_empty());
+        }
+        if moved {
+            let _ = self.watch.send(Ask::Moved).await;
+        }
+    }
+
+    /// Puts a list in force that discovery did not just tell.
+    pub async fn know(&self, known: &config::Targets, as_news: impl Fn(ListNews) -> ListNews) {
+        let news = as_news(self.boxes.news(known));
+        let _ = self.module.send(Mail::News(news)).await;
+    }
+
+    /// Follows the signals until the program has ended all that it owed.
+    pub async fn follow(&self, mut signals: Signals) {
+        let context = &self.context;
+        while let Some(signal) = signals.next().await {
+            match signal {
+                Ok(Signal::Usr1) => drop(self.module.send(Mail::Print).await),
+                Ok(Signal::Hup) => self.reload().await,
+                _ => break,
+            }
+        }
+        let since = context.clock.now();
+        let (open, clients) = (context.tallies.open.get(), context.gauges.clients.get());
+        crate::log::line(format_args!("stop open={open} clients={clients}"));
+        context.life.stopping.set(Some(since));
+        context.life.stopped.0.close();
+        self.wind_up(&mut signals, since).await;
+        let _ = self.module.send(Mail::Print).await;
+        // What is still open ends now, each with its line.
+        self.watch.close();
+        self.boxes.stop();
+        Timer::after(Duration::from_millis(5)).await;
+        crate::log::line(format_args!("end"));
+    }
+
+    /// Waits until nothing is owed any more.
+    async fn wind_up(&self, signals: &mut Signals, since: Micros) {
+        let context = &self.context;
+        let mut last = since;
+        loop {
+            // Guards the end of a planned restart: what comes meanwhile must not cut it short.
+            let signal = async { signals.next().await.and_then(Result::ok) };
+            let tick = async {
+                Timer::after(Duration::from_millis(20)).await;
+                None
+            };
+            match future::or(signal, tick).await {
+                Some(Signal::Hup) => self.reload().await,
+                Some(Signal::Usr1) => drop(self.module.send(Mail::Print).await),
+                _ => {}
+            }
+            let now = context.clock.now();
+            let passed = now.0 - since.0;
+            if context.gauges.clients.get() > 0 {
+                last = now;
+            }
+            let accepting = if context.followed() { 0 } else { ACCEPTING };
+            if passed >= LONGEST || (passed >= accepting && now.0 - last.0 >= CROSSING) {
+                return;
+            }
+        }
+    }
+}
--- a/crates/lichenrudder/src/value.rs
+++ b/crates/lichenrudder/src/value.rs
@@ -1,7 +1,7 @@
 //! What a disk box gave: a value that is whole, or a long one that is passed on while it comes. Of a long one the end is
 //! held back until the box has ended it as it should: a client that has it all can rely on it, and one that has not can
 //! tell.
-use crate::context::{Context, Count};
+use crate::counts::{Count, Gauges};
 use async_channel::{Receiver, Sender};
 use dispatch::Bytes;
 use std::rc::Rc;
@@ -60,9 +60,9 @@
 
 impl Passing {
     /// A value of that length.
-    pub fn begin(context: &Rc<Context>, length: usize) -> (Passing, Value) {
+    pub fn begin(gauges: &Rc<Gauges>, length: usize) -> (Passing, Value) {
         let (to, pieces) = async_channel::bounded(1);
-        let passing = Passing { pieces: to, left: length, _count: Count::up(context, |c| &c.passing) };
+        let passing = Passing { pieces: to, left: length, _count: Count::up(gauges, |g| &g.passing) };
         (passing, Value::Coming(Coming { length, pieces }))
     }
 
