Split the decision module, the configuration and the core by concern; add the fault rig and gathers

crates/rig is test support of the project's own: the built program as several processes, boxes that log and apply (RESP2 and iSCSI), discovery, links between all of them that can be cut one way or both, delayed, slowed or made lossy, stalls, kills, restarts with state kept or lost, printed seeds, verdicts from logs.

The section [accord] is read and checked, with deploy/together.toml; the platform's file can't turn it on.

--- a/crates/config/src/accord.rs
+++ b/crates/config/src/accord.rs
@@ -110,6 +110,12 @@
 }
 
 impl Accord {
+    /// Whether two sections say the same apart from their keys.
+    pub fn same_but_keys(one: Option<&Accord>, other: Option<&Accord>) -> bool {
+        let bare = |accord: &Accord| Accord { keys: Vec::new(), ..accord.clone() };
+        one.map(bare) == other.map(bare)
+    }
+
     /// The keys as bytes: the one that signs, and the other one.
     pub fn keys(&self) -> Result<([u8; 32], Option<[u8; 32]>), Fault> {
         if self.keys.is_empty() || self.keys.len() > 2 {
@@ -182,7 +188,8 @@
         if self.lease_s * 1000.0 < 2.0 * self.election_ms as f64 {
             return fault("accord.lease_s", "must be at least twice accord.election_ms");
         }
-        let out = [("most", self.out.most), ("per_hall", self.out.per_hall), ("per_volume", self.out.per_volume)];
+        let out =
+            [("most", self.out.most), ("per_hall", self.out.per_hall), ("per_volume", self.out.per_volume)];
         if let Some((part, _)) = out.into_iter().find(|(_, n)| *n == 0) {
             return fault(format!("accord.out.{part}"), "must be at least 1: with none no box could ever go");
         }
--- /dev/null
+++ b/crates/config/src/file.rs
@@ -0,0 +1,190 @@
+//! A file's text, read section by section.
+use crate::check::check;
+use crate::shape::Shape;
+use crate::{targets, Accord, Class, Clients, Config, Fault, Iscsi, Limits, Listen, Targets};
+use oxbowhill::interface::Micros;
+use serde::Deserialize;
+use serde_json::Value;
+use std::net::SocketAddr;
+
+/// A file as it stands. A further section is one more field here and in `Config`; its types and bounds are a module
+/// like `iscsi`, called from `check`, and what needs a restart is said in `reload`. It is an operator's alone while its
+/// key is not under `PLATFORM_KEYS`.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct FileIn {
+    #[serde(default)]
+    pub name: Option<String>,
+    #[serde(default)]
+    pub listen: Option<SocketAddr>,
+    #[serde(default)]
+    pub discovery: Option<SocketAddr>,
+    #[serde(default)]
+    pub seed: Option<String>,
+    #[serde(default)]
+    pub limits: Limits,
+    #[serde(default)]
+    pub clients: Clients,
+    #[serde(default)]
+    pub known: Option<Value>,
+    pub settings: Value,
+    #[serde(default)]
+    pub agent: Option<Listen>,
+    #[serde(default)]
+    pub health: Option<Listen>,
+    #[serde(default)]
+    pub admin: Option<SocketAddr>,
+    #[serde(default)]
+    pub iscsi: Option<Iscsi>,
+    #[serde(default)]
+    pub accord: Option<Accord>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct NamesIn {
+    classes: Vec<ClassIn>,
+    #[serde(default)]
+    contracts: Vec<PlanIn>,
+    #[serde(default)]
+    zones: Vec<String>,
+    #[serde(default)]
+    limits: LimitsIn,
+    #[serde(default)]
+    family_info: FamilyIn,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct ClassIn {
+    name: String,
+    deadline_s: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct PlanIn {
+    name: String,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "PascalCase", default)]
+struct LimitsIn {
+    conn_idle_s: f64,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "PascalCase", default)]
+struct FamilyIn {
+    writes: Vec<bool>,
+    slots_total: u32,
+}
+
+/// The name of a front that is given none.
+pub(crate) const DEFAULT_NAME: &str = "lichenrudder";
+
+/// The keys that are read from a file of the platform, which may have others; an operator's may not.
+const PLATFORM_KEYS: [&str; 12] = [
+    "name",
+    "listen",
+    "discovery",
+    "seed",
+    "limits",
+    "known",
+    "settings",
+    "agent",
+    "health",
+    "admin",
+    "iscsi",
+    "clients",
+];
+
+/// Reads and checks a file's text: TOML where the name ends so, else JSON.
+pub fn read(name: &str, text: &str) -> Result<Config, Fault> {
+    let value: Value = if name.ends_with(".toml") {
+        toml::from_str(text).map_err(|e| Fault { key: name.into(), reason: e.to_string() })?
+    } else {
+        serde_json::from_str(text).map_err(|e| Fault { key: name.into(), reason: e.to_string() })?
+    };
+    // The platform's file may grow keys, the operator's is checked to the letter.
+    let mut value = value;
+    let mut shape = Shape::default();
+    if !name.ends_with(".toml") {
+        shape = Shape::of(&value);
+        if let Some(object) = value.as_object_mut() {
+            object.retain(|k, _| PLATFORM_KEYS.contains(&k.as_str()));
+        }
+    }
+    let mut file: FileIn = section(value, "")?;
+    let mut setup = std::mem::take(&mut file.settings);
+    if let Some(object) = setup.as_object_mut() {
+        // Defaults for an operator who runs one front of his own.
+        object.entry("FleetSize").or_insert(1.into());
+    }
+    let settings = oxbowhill::wire::read_settings(setup.clone())
+        .map_err(|reason| Fault { key: "settings".into(), reason })?;
+    oxbowhill::Scheduler::new(settings.clone(), 0)
+        .map_err(|e| Fault { key: format!("settings ({})", e.field), reason: e.reason.into() })?;
+    let names: NamesIn = section(setup, "settings")?;
+    let shards = Some(names.family_info.slots_total).filter(|n| *n > 0);
+    let writes = names.family_info.writes;
+    let classes: Vec<Class> = names
+        .classes
+        .into_iter()
+        .enumerate()
+        .map(|(i, c)| Class {
+            name: c.name,
+            deadline: Micros((c.deadline_s * 1e6) as i64),
+            write: writes.get(i).copied(),
+        })
+        .collect();
+    let plans: Vec<String> = names.contracts.into_iter().map(|p| p.name).collect();
+    let seed = match &file.seed {
+        None => 0,
+        Some(hex) => u64::from_str_radix(hex, 16)
+            .map_err(|_| Fault { key: "seed".into(), reason: format!("{hex:?} is not a hex number") })?,
+    };
+    let known = match &file.known {
+        None => Targets { generation: 0, whole: true, targets: vec![] },
+        Some(list) => targets(list.to_string().as_bytes(), &names.zones)
+            .map_err(|e| Fault { key: format!("known.{}", e.key), reason: e.reason })?,
+    };
+    check(name, &file, &classes, &plans, &known, &names.zones, settings.hosts)?;
+    let idle = if names.limits.conn_idle_s > 0.0 { names.limits.conn_idle_s } else { 15.0 };
+    Ok(Config {
+        name: file.name.unwrap_or_else(|| DEFAULT_NAME.into()),
+        listen: file.listen,
+        discovery: file.discovery,
+        seed,
+        limits: file.limits,
+        shards,
+        clients: file.clients,
+        known,
+        settings,
+        classes,
+        plans,
+        zones: names.zones,
+        retired: Default::default(),
+        named: file.discovery,
+        idle: Micros((idle * 1e6) as i64),
+        agent: file.agent,
+        health: file.health,
+        admin: file.admin,
+        iscsi: file.iscsi,
+        accord: file.accord,
+        shape,
+    })
+}
+
+fn section<T: for<'a> Deserialize<'a>>(value: Value, at: &str) -> Result<T, Fault> {
+    serde_path_to_error::deserialize(value).map_err(|e| {
+        let path = e.path().to_string();
+        let key = match (at, path.as_str()) {
+            ("", ".") => "file".into(),
+            ("", path) => path.to_string(),
+            (at, ".") => at.to_string(),
+            (at, path) => format!("{at}.{path}"),
+        };
+        Fault { key, reason: e.inner().to_string() }
+    })
+}
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -1,1 +1,21 @@
-//! Test support: several processes of the program, boxes, discovery, and links that fail.
+//! Test support: several processes of the program, boxes, discovery, and links that fail. Schedules of faults come from
+//! seeds that are printed, verdicts rest on what boxes, discovery and clients have logged and not on the machine's speed,
+//! and only what was started here is ever signalled.
+pub mod boxes;
+pub mod clients;
+pub mod discovery;
+pub mod engine;
+pub mod files;
+pub mod fronts;
+pub mod links;
+pub mod operator;
+mod outages;
+mod play;
+pub mod ports;
+mod relay;
+pub mod rig;
+pub mod schedule;
+pub mod setup;
+pub mod story;
+mod tunnel;
+pub mod verdict;
