--- a/crates/lichenrudder/src/context.rs
+++ b/crates/lichenrudder/src/context.rs
@@ -144,7 +144,7 @@
     /// serves their clients.
     pub fn lingered(&self) -> bool {
         let closes =
-            |since| if self.followed() { since } else { restart::closes(since, self.longest_deadline()) };
+            |since| if self.followed() { since } else { restart::over(since, self.longest_deadline()) };
         self.life.stopping.get().is_some_and(|since| self.clock.now() >= closes(since))
     }
 
@@ -155,7 +155,7 @@
 
     /// When the program ends: by when everything must be answered that is taken on from now on.
     pub fn answer_by(&self) -> Option<Micros> {
-        self.life.stopping.get().map(|since| restart::answer_by(since, self.longest_deadline()))
+        self.life.stopping.get().map(|since| restart::over(since, self.longest_deadline()))
     }
 
     /// Descriptors that are held.
