--- a/crates/accord/src/disk.rs
+++ b/crates/accord/src/disk.rs
@@ -3,6 +3,7 @@
 use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition};
 use std::fmt;
 use std::path::Path;
+use std::time::Duration;
 
 const META: TableDefinition<'_, &str, &[u8]> = TableDefinition::new("meta");
 const LOG: TableDefinition<'_, u64, &[u8]> = TableDefinition::new("log");
@@ -30,6 +31,8 @@
 pub struct Change {
     /// The hard state, where it changes.
     pub hard: Option<Vec<u8>>,
+    /// What the front's own side keeps, where it changes.
+    pub kept: Option<Vec<u8>>,
     /// The snapshot, where it changes; entries up to and with its index go.
     pub snapshot: Option<(u64, Vec<u8>)>,
     /// Entries from this index on go.
@@ -45,6 +48,8 @@
     pub life: u64,
     /// The hard state.
     pub hard: Option<Vec<u8>>,
+    /// What the front's own side kept.
+    pub kept: Option<Vec<u8>>,
     /// The snapshot.
     pub snapshot: Option<Vec<u8>>,
     /// The entries, in order.
@@ -60,7 +65,8 @@
     /// Opens the store of a front in that folder, which is made where it is missing; a new store gets that life.
     pub fn open(folder: &Path, life: u64) -> Result<Disk, Fault> {
         std::fs::create_dir_all(folder).map_err(words("the folder can't be made"))?;
-        let base = Database::create(folder.join("accord.redb")).map_err(words("the store can't be opened"))?;
+        let base =
+            Database::create(folder.join("accord.redb")).map_err(words("the store can't be opened"))?;
         let disk = Disk { base };
         disk.found(life)?;
         Ok(disk)
@@ -77,17 +83,33 @@
                 None => {
                     let put = [("form", FORM), ("life", life)];
                     for (key, value) in put {
-                        meta.insert(key, value.to_be_bytes().as_slice()).map_err(words("the store's meta data"))?;
+                        meta.insert(key, value.to_be_bytes().as_slice())
+                            .map_err(words("the store's meta data"))?;
                     }
                 }
                 Some(FORM) => {}
                 // Guards against a store of a later version, whose records would be read as something else.
-                Some(other) => return Err(Fault(format!("the store has form {other}, this program knows {FORM}"))),
+                Some(other) => {
+                    return Err(Fault(format!("the store has form {other}, this program knows {FORM}")))
+                }
             }
         }
         write.commit().map_err(words("the store can't be written"))
     }
 
+    /// A number for this start of the process, above those of all earlier ones.
+    pub fn start(&self, unix: Duration) -> Result<u64, Fault> {
+        let write = self.base.begin_write().map_err(words("the store can't be written"))?;
+        let start = {
+            let mut meta = write.open_table(META).map_err(words("the store's meta data"))?;
+            let start = envelope::life(unix, number(&meta, "start")?.unwrap_or(0));
+            meta.insert("start", start.to_be_bytes().as_slice()).map_err(words("the store's meta data"))?;
+            start
+        };
+        write.commit().map_err(words("the store can't be written"))?;
+        Ok(start)
+    }
+
     /// Reads everything, as at the start.
     pub fn read(&self) -> Result<Content, Fault> {
         let read = self.base.begin_read().map_err(words("the store can't be read"))?;
@@ -100,6 +122,7 @@
         let mut content = Content {
             life: number(&meta, "life")?.ok_or(Fault("the store has no life".into()))?,
             hard: bytes("hard")?,
+            kept: bytes("kept")?,
             snapshot: bytes("snapshot")?,
             entries: Vec::new(),
         };
@@ -119,6 +142,9 @@
             if let Some(hard) = &change.hard {
                 meta.insert("hard", hard.as_slice()).map_err(words("the hard state"))?;
             }
+            if let Some(kept) = &change.kept {
+                meta.insert("kept", kept.as_slice()).map_err(words("what is kept"))?;
+            }
             if let Some((index, snapshot)) = &change.snapshot {
                 meta.insert("snapshot", snapshot.as_slice()).map_err(words("the snapshot"))?;
                 log.retain(|at, _| at > *index).map_err(words("the store's log"))?;
@@ -155,7 +181,8 @@
         drop(disk);
         let again = Disk::open(folder.path(), 8).unwrap().read().unwrap();
         let entries = vec![(2, vec![2]), (3, vec![33])];
-        assert_eq!(again, Content { life: 7, hard: Some(vec![9]), snapshot: Some(vec![5]), entries });
+        assert_eq!((again.life, again.hard, again.snapshot), (7, Some(vec![9]), Some(vec![5])));
+        assert_eq!(again.entries, entries);
     }
 
     #[test]
--- a/crates/accord/src/lib.rs
+++ b/crates/accord/src/lib.rs
@@ -1,1 +1,23 @@
-//! Hosts of what fronts settle among themselves: sockets, threads, disk.
+//! Hosts of what fronts settle among themselves: sockets, threads, disk. They drive the machines of the other packages
+//! and meet the front through two mailboxes; none of its threads is the front's.
+//!
+//! Threads: one for the sockets (membership and frames), one for the log with all that follows from it, one that
+//! writes to the disk. Each has its own state; between them are bounded mailboxes.
+mod apply;
+mod calls;
+mod clock;
+mod core;
+mod disk;
+mod frames;
+mod ledger;
+mod links;
+mod mail;
+mod net;
+mod settings;
+mod start;
+mod store;
+mod turn;
+
+pub use mail::{Call, Measures, Seen, ToAccord, ToFront, Told};
+pub use settings::{Fellow, Settings};
+pub use start::{start, Handle};
--- /dev/null
+++ b/crates/accord/src/store.rs
@@ -0,0 +1,105 @@
+//! The thread that writes. Batches of the log and what the front's own side keeps go to the disk in the order in which they
+//! came; after one has failed, none that came later is written until the disk has been found well again.
+use crate::disk::{Change, Content, Disk, Fault};
+use consensus::{Batch, Stored};
+use serde::de::DeserializeOwned;
+use std::sync::mpsc::{Receiver, RecvTimeoutError};
+use std::time::Duration;
+
+/// How long after a failure the disk is tried again.
+const AGAIN: Duration = Duration::from_secs(1);
+
+/// What is to be written.
+pub enum Write {
+    /// A batch of the log.
+    Batch(Batch),
+    /// What the front's own side keeps, with its number.
+    Kept(u64, Vec<u8>),
+}
+
+/// What has become of it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Wrote {
+    /// The batch is on disk.
+    Batch(u64),
+    /// It is not, or it is not known.
+    Failed(u64),
+    /// What is kept is on disk.
+    Kept(u64),
+    /// The disk can be written again.
+    Recovered,
+}
+
+/// A batch as a change of the store.
+fn change(batch: &Batch) -> Result<Change, Fault> {
+    let bytes = |value: Result<Vec<u8>, postcard::Error>| value.map_err(|e| Fault(e.to_string()));
+    let append = batch.append.iter().map(|e| Ok((e.index.0, bytes(postcard::to_stdvec(e))?)));
+    let snapshot = batch.snapshot.as_ref().map(|s| Ok((s.at.index, bytes(postcard::to_stdvec(s))?)));
+    Ok(Change {
+        hard: Some(bytes(postcard::to_stdvec(&batch.hard))?),
+        kept: None,
+        snapshot: snapshot.transpose()?,
+        truncate: batch.truncate.map(|i| i.0),
+        append: append.collect::<Result<_, Fault>>()?,
+    })
+}
+
+/// What the store held at the start, as the log wants it.
+pub fn stored(content: &Content) -> Result<Stored, Fault> {
+    fn read<T: DeserializeOwned>(what: &str, bytes: &[u8]) -> Result<T, Fault> {
+        postcard::from_bytes(bytes).map_err(|e| Fault(format!("{what} in the store can't be read: {e}")))
+    }
+    let mut stored = Stored::empty(content.life);
+    if let Some(hard) = &content.hard {
+        stored.hard = read("the hard state", hard)?;
+    }
+    if let Some(snapshot) = &content.snapshot {
+        stored.snapshot = Some(read("the snapshot", snapshot)?);
+    }
+    for (index, bytes) in &content.entries {
+        let entry: consensus::Entry = read("an entry", bytes)?;
+        // Guards against records that were doubled or put in another's place.
+        if entry.index.0 != *index {
+            return Err(Fault(format!("entry {index} in the store says that it is {}", entry.index.0)));
+        }
+        stored.entries.push(entry);
+    }
+    Ok(stored)
+}
+
+/// Writes until the other end has gone.
+pub fn run(disk: &Disk, from: &Receiver<Write>, told: &dyn Fn(Wrote), log: fn(&str)) {
+    let mut failed = false;
+    loop {
+        let next = match failed {
+            false => from.recv().map_err(|_| RecvTimeoutError::Disconnected),
+            true => from.recv_timeout(AGAIN),
+        };
+        match next {
+            Ok(Write::Batch(batch)) if failed => told(Wrote::Failed(batch.id)),
+            Ok(Write::Kept(..)) if failed => {}
+            Ok(Write::Batch(batch)) => match change(&batch).and_then(|c| disk.write(&c)) {
+                Ok(()) => told(Wrote::Batch(batch.id)),
+                Err(e) => {
+                    log(&format!("accord disk error={e}"));
+                    failed = true;
+                    told(Wrote::Failed(batch.id));
+                }
+            },
+            Ok(Write::Kept(serial, bytes)) => {
+                match disk.write(&Change { kept: Some(bytes), ..Change::default() }) {
+                    Ok(()) => told(Wrote::Kept(serial)),
+                    Err(e) => log(&format!("accord disk error={e}")),
+                }
+            }
+            Err(RecvTimeoutError::Timeout) => {
+                if disk.write(&Change::default()).is_ok() {
+                    log("accord disk well again");
+                    failed = false;
+                    told(Wrote::Recovered);
+                }
+            }
+            Err(RecvTimeoutError::Disconnected) => return,
+        }
+    }
+}
--- /dev/null
+++ b/crates/accord/src/turn.rs
@@ -0,0 +1,178 @@
+//! What is due from time to time: measures go to the leader, what is not in the log yet is said again, and the leader
+//! proposes the next steps.
+use crate::clock::unix;
+use crate::core::{Core, Measured};
+use crate::frames::Frame;
+use crate::ledger::What;
+use crate::mail::{ago, Measures};
+use consensus::Role;
+use fleet::{BoxId, Time};
+use maintenance::{BoxFact, Command, Presence, Seat, View};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// What is not in the log is said again after that.
+const AGAIN: Duration = Duration::from_millis(400);
+/// How often a front measures for the leader, and asks for its lease.
+const MEASURED: Duration = Duration::from_millis(300);
+/// Older measures count as none.
+const FRESH: Duration = Duration::from_secs(3);
+/// A proposal of which nothing was heard for so long is made again.
+const PROPOSED: Duration = Duration::from_secs(2);
+
+impl Core {
+    /// What the front measured.
+    pub fn measures(&mut self, now: Time, measures: Measures) {
+        for (id, seen) in &measures.boxes {
+            let last_send = seen.last_send.map(|span| ago(now, span));
+            let (id, out) = (id.clone(), seen.out);
+            self.own(now, maintenance::Event::Figures { id, out, last_send, at: now });
+        }
+        let seen = self.ledger.applied;
+        let me = self.settings.me.clone();
+        self.measured.insert(me, Measured { came: now, seen, measures });
+    }
+
+    /// One turn.
+    pub fn turn(&mut self, now: Time) {
+        self.present(now);
+        self.again(now);
+        if now.since(self.last[1]) >= MEASURED {
+            self.last[1] = now;
+            self.ask(now);
+        }
+        // No more often than anything new is measured: each turn would find figures that differ a little.
+        let due = now.since(self.last[0]) >= MEASURED;
+        if due && self.node.role().0 == Role::Leader && self.node.lease(now).is_some() {
+            self.last[0] = now;
+            self.lead(now);
+        }
+    }
+
+    /// Says that this front is there, under this start of it.
+    fn present(&mut self, now: Time) {
+        let (me, life) = (self.settings.me.clone(), self.start);
+        let there = self.ledger.desk.seat_of(&me) == Some(Seat::Present { life });
+        if !there && !self.leaving && now.since(self.last[2]) >= AGAIN {
+            self.last[2] = now;
+            let presence = Presence::Present { life };
+            self.forward(now, 0, What::Maintenance(Command::Roster { member: me, presence }));
+        }
+    }
+
+    fn again(&mut self, now: Time) {
+        let mut due = Vec::new();
+        for (ticket, waiting) in &mut self.waiting {
+            if now.since(waiting.said) >= AGAIN {
+                waiting.said = now;
+                due.push((*ticket, waiting.what.clone()));
+            }
+        }
+        for (ticket, what) in due {
+            self.forward(now, ticket, what);
+        }
+        self.expire(now);
+    }
+
+    /// Tells the leader what was measured, and asks for the lease; the leader has its own.
+    fn ask(&mut self, now: Time) {
+        let leader = match self.node.role() {
+            (Role::Leader, ..) => {
+                // It gives itself what it gives the others, and like them only while nobody else can lead.
+                if self.node.lease(now).is_some() {
+                    self.leased(now, self.settings.lease);
+                }
+                return;
+            }
+            (_, _, leader) => leader.cloned(),
+        };
+        let (Some(leader), Some(own)) = (leader, self.measured.get(&self.settings.me)) else { return };
+        let measures = Box::new(own.measures.clone());
+        let frame = Frame::Measured { asked: now.0, seen: own.seen, measures };
+        self.send(&leader, &frame);
+    }
+
+    fn lead(&mut self, now: Time) {
+        self.proposed.retain(|_, at| now.since(*at) < PROPOSED);
+        if !self.proposed.is_empty() {
+            return;
+        }
+        let me = self.settings.me.clone();
+        let failing = self.failing(now);
+        self.watch.look(now, &self.ledger.desk, &failing);
+        let mut commands = Vec::new();
+        if !self.ledger.desk.rules_are(&self.settings.rules) {
+            commands.push(Command::Rules(self.settings.rules.clone()));
+        } else {
+            let at_ms = u64::try_from(unix().as_millis()).unwrap_or(u64::MAX);
+            let view = self.collected(now);
+            commands = self.ledger.desk.propose(at_ms, &view);
+        }
+        for command in commands {
+            self.propose(now, me.clone(), 0, What::Maintenance(command));
+        }
+    }
+
+    fn fresh(&self, now: Time) -> impl Iterator<Item = (&fleet::MemberId, &Measured)> {
+        self.measured.iter().filter(move |(_, m)| now.since(m.came) < FRESH)
+    }
+
+    fn failing(&self, now: Time) -> BTreeSet<BoxId> {
+        let failed = |m: &'_ Measured| {
+            m.measures.boxes.iter().filter(|(_, s)| s.failed).map(|(b, _)| b.clone()).collect::<Vec<_>>()
+        };
+        self.fresh(now).flat_map(|(_, m)| failed(m)).collect()
+    }
+
+    /// What all fronts measured, put together. A box is listed where one front has it on its list, dead where more than half
+    /// of them find it so, cold where any does.
+    fn collected(&self, now: Time) -> View {
+        let mut view = View { well_ms: self.watch.well_ms(now), ..View::default() };
+        let mut found: BTreeMap<BoxId, (usize, usize)> = BTreeMap::new();
+        let mut fresh = BTreeSet::new();
+        view.seen = self.ledger.applied;
+        let (mut whole, mut most) = (true, 0);
+        for (member, measured) in self.fresh(now) {
+            fresh.insert(member.clone());
+            view.seen = view.seen.min(measured.seen);
+            whole &= measured.measures.whole;
+            most = most.max(measured.measures.reserved);
+            for (id, seen) in &measured.measures.boxes {
+                let fact = view.boxes.entry(id.clone()).or_insert_with(|| BoxFact {
+                    hall: seen.hall.clone(),
+                    listed: false,
+                    died: false,
+                    cold: false,
+                });
+                fact.listed |= seen.listed;
+                fact.cold |= seen.cold;
+                let (all, died) = found.entry(id.clone()).or_default();
+                *all += 1;
+                *died += usize::from(seen.died);
+                if seen.units > 0 {
+                    // In steps of a double: parts are not to be dealt anew for every little change.
+                    let units = seen.units.next_power_of_two();
+                    view.traffic.entry(id.clone()).or_default().insert(member.clone(), units);
+                }
+            }
+            for (volume, (reserved, boxes)) in &measured.measures.volumes {
+                let fact = view.volumes.entry(volume.clone()).or_default();
+                fact.reserved += reserved;
+                for (id, carries) in boxes {
+                    *fact.boxes.entry(id.clone()).or_default() += carries;
+                }
+            }
+        }
+        for (id, (all, died)) in found {
+            if let Some(fact) = view.boxes.get_mut(&id) {
+                fact.died = 2 * died > all;
+            }
+        }
+        // A volume is not owed more than is reserved, nor more than it asks for: what it does not use can't be missing.
+        for fact in view.volumes.values_mut() {
+            fact.reserved = fact.reserved.min(most);
+        }
+        view.whole = whole && self.ledger.desk.present().all(|m| fresh.contains(m));
+        view
+    }
+}
--- a/crates/config/src/file.rs
+++ b/crates/config/src/file.rs
@@ -1,11 +1,12 @@
 //! A file's text, read section by section.
 use crate::check::check;
 use crate::shape::Shape;
-use crate::{targets, Accord, Class, Clients, Config, Fault, Iscsi, Limits, Listen, Targets};
+use crate::{gathers, targets, Accord, Class, Clients, Config, Fault, Iscsi, Limits, Listen, Targets};
 use oxbowhill::interface::Micros;
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 /// A file as it stands. A further section is one more field here and in `Config`; its types and bounds are a module
 /// like `iscsi`, called from `check`, and what needs a restart is said in `reload`. It is an operator's alone while its
@@ -38,6 +39,8 @@
     pub iscsi: Option<Iscsi>,
     #[serde(default)]
     pub accord: Option<Accord>,
+    #[serde(default)]
+    pub gather: Vec<gather::Policy>,
 }
 
 #[derive(Deserialize)]
@@ -150,6 +153,7 @@
             .map_err(|e| Fault { key: format!("known.{}", e.key), reason: e.reason })?,
     };
     check(name, &file, &classes, &plans, &known, &names.zones, settings.hosts)?;
+    gathers::check(&file.gather, &gathers::Beside::of(&file, &classes, &names.zones, shards))?;
     let idle = if names.limits.conn_idle_s > 0.0 { names.limits.conn_idle_s } else { 15.0 };
     Ok(Config {
         name: file.name.unwrap_or_else(|| DEFAULT_NAME.into()),
@@ -172,6 +176,7 @@
         admin: file.admin,
         iscsi: file.iscsi,
         accord: file.accord,
+        gathers: file.gather.into_iter().map(Arc::new).collect(),
         shape,
     })
 }
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -5,6 +5,7 @@
 mod environment;
 mod fault;
 mod file;
+mod gathers;
 mod iscsi;
 mod reload;
 mod sections;
@@ -16,6 +17,7 @@
 pub use environment::from_env;
 pub use fault::Fault;
 pub use file::read;
+pub use gathers::MEMORY_SHARE;
 pub use iscsi::{Iscsi, Lun};
 pub use sections::{Class, Clients, Limits, Listen};
 pub use targets::{targets, Speaks, Target, Targets};
@@ -26,6 +28,7 @@
 use shape::Shape;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 /// Everything that the program is told at its start.
 #[derive(Clone, Debug)]
@@ -70,6 +73,8 @@
     pub iscsi: Option<Iscsi>,
     /// The fronts that act together.
     pub accord: Option<Accord>,
+    /// Answers that are gathered from parts.
+    pub gathers: Vec<Arc<gather::Policy>>,
     /// The keys that a file of the platform had; a later one must have them too.
     shape: Shape,
 }
--- a/crates/config/src/reload.rs
+++ b/crates/config/src/reload.rs
@@ -1,5 +1,5 @@
 //! A later file in the place of the one in force.
-use crate::{fault, from_env, iscsi, Accord, Class, Config, Fault};
+use crate::{fault, from_env, gathers, iscsi, Accord, Class, Config, Fault};
 use std::collections::BTreeSet;
 
 /// The most classes, plans or zones; a reload keeps those that are left out, so their number could grow.
@@ -62,6 +62,16 @@
         if let Some(iscsi) = &self.iscsi {
             iscsi::check(iscsi, &new.classes, &new.plans)?;
         }
+        // The old ones stay in force, so they must still fit.
+        let beside = gathers::Beside {
+            says_in_part: self.listen.is_some(),
+            classes: &new.classes,
+            halls: &new.zones,
+            shards: new.shards,
+            iscsi: self.iscsi.as_ref(),
+            memory_mb: new.limits.memory_mb,
+        };
+        gathers::check(self.gathers.iter().map(|p| &**p), &beside)?;
         let names = |c: &[Class]| c.iter().map(|c| c.name.clone()).collect::<Vec<_>>();
         let (old_classes, new_classes) = (names(&self.classes), names(&new.classes));
         let text = String::as_str;
@@ -90,11 +100,13 @@
             ("iscsi", new.iscsi == self.iscsi),
             // Keys change in service; all else of it needs a restart.
             ("accord", Accord::same_but_keys(new.accord.as_ref(), self.accord.as_ref())),
+            ("gather", new.gathers == self.gathers),
         ];
         let kept = checks.into_iter().filter(|(_, same)| !same).map(|(key, _)| key).collect();
         (new.name, new.listen, new.seed) = (self.name.clone(), self.listen, self.seed);
         (new.agent, new.health, new.iscsi) = (self.agent.clone(), self.health.clone(), self.iscsi.clone());
         new.admin = self.admin;
+        new.gathers = self.gathers.clone();
         let keys = new.accord.take().map(|accord| accord.keys);
         new.accord = self.accord.clone();
         if let (Some(accord), Some(keys)) = (&mut new.accord, keys) {
--- /dev/null
+++ b/crates/config/tests/gather.rs
@@ -0,0 +1,123 @@
+//! The tables `[[gather]]`: a good file, and each fault with its key.
+#![allow(clippy::unwrap_used)]
+use config::Config;
+use rstest::rstest;
+
+const GOOD: &str = r#"
+[[gather]]
+name = "all-halls"
+volume = "0000000000000001"
+piece = "00000000000000ff"
+class = "stock-read"
+suffices = { at_least = 1, named = ["north"] }
+otherwise = "in-part"
+
+[[gather.part]]
+name = "north"
+hall = "hall-a"
+piece = "0000000000000001"
+shard = 0
+
+[[gather.part]]
+name = "south"
+hall = "hall-b"
+volume = "0000000000000002"
+piece = "0000000000000002"
+shard = 3
+"#;
+
+/// A written file with two halls and four shards, and these tables.
+fn file(gathers: &str) -> String {
+    let written = config::application("label-printer").unwrap();
+    let halls = written.replace("Zones = [\"hall-a\"]", "Zones = [\"hall-a\", \"hall-b\"]");
+    halls.replace("[settings.FamilyInfo]", "[settings.FamilyInfo]\nSlotsTotal = 4") + gathers
+}
+
+fn read(text: &str) -> Result<Config, config::Fault> {
+    config::read("x.toml", text)
+}
+
+#[test]
+fn a_good_file_says_what_is_gathered_and_a_written_one_has_none() {
+    let config = read(&file(GOOD)).unwrap();
+    assert_eq!((config.gathers.len(), config.gathers[0].parts.len()), (1, 2));
+    let written = config::application("label-printer").unwrap();
+    assert!(read(&written).unwrap().gathers.is_empty(), "off unless an operator sets it");
+    // What is written as a comment is good once it is no comment any more.
+    let (_, block) = written.split_once("# [[gather]]").unwrap();
+    let (block, _) = block.split_once("# Fronts").unwrap();
+    let lines: Vec<&str> =
+        block.lines().map(|l| l.strip_prefix("# ").unwrap_or(l.trim_start_matches('#'))).collect();
+    let set = format!("{written}\n[[gather]]{}", lines.join("\n"));
+    assert_eq!(read(&set).unwrap().gathers[0].parts.len(), 2);
+}
+
+#[rstest]
+#[case::a_class_that_writes("class = \"stock-read\"", "class = \"booking-write\"", "gather[0].class")]
+#[case::an_unknown_class("class = \"stock-read\"", "class = \"x\"", "gather[0].class")]
+#[case::no_piece("piece = \"00000000000000ff\"", "piece = \"ff\"", "gather[0].piece")]
+#[case::itself("piece = \"0000000000000001\"", "piece = \"00000000000000FF\"", "gather[0].part[0].piece")]
+#[case::a_box("shard = 3", "box = \"box-3\"", "gather[0].part[1].box")]
+#[case::no_such_shard("shard = 3", "shard = 4", "gather[0].part[1].shard")]
+#[case::no_such_hall("hall = \"hall-b\"", "hall = \"hall-c\"", "gather[0].part[1].hall")]
+#[case::blocks_without_a_lun(
+    "piece = \"0000000000000002\"",
+    "blocks = { first = 0, end = 8 }",
+    "gather[0].part[1].blocks"
+)]
+#[case::too_many("at_least = 1", "at_least = 3", "gather[0].suffices.at_least")]
+#[case::not_a_part("named = [\"north\"]", "named = [\"west\"]", "gather[0].suffices.named[0]")]
+#[case::twice("name = \"south\"", "name = \"north\"", "gather[0].part[1].name")]
+#[case::more_than_the_memory("otherwise = \"in-part\"", "most_bytes = 30000000", "gather[0].most_bytes")]
+#[case::a_way_back_too_long("otherwise = \"in-part\"", "way_back_ms = 1200", "gather[0].way_back_ms")]
+#[case::unknown_key("otherwise", "else", "gather[0].else")]
+fn a_fault_is_told_with_its_key(#[case] good: &str, #[case] bad: &str, #[case] key: &str) {
+    assert!(GOOD.contains(good), "{good}");
+    let found = read(&file(&GOOD.replacen(good, bad, 1))).map(|_| ()).unwrap_err();
+    assert_eq!(found.key, key, "{found}");
+}
+
+#[test]
+fn blocks_are_taken_where_a_lun_says_what_they_are() {
+    let blocks = |end: u64| {
+        let of = format!("blocks = {{ first = 8, end = {end} }}");
+        file(&GOOD.replacen("piece = \"0000000000000001\"", &of, 1))
+    };
+    assert!(read(&blocks(131_072)).is_ok());
+    assert_eq!(read(&blocks(131_073)).map(|_| ()).unwrap_err().key, "gather[0].part[0].blocks");
+}
+
+#[test]
+fn a_front_that_cannot_say_in_part_takes_all_or_nothing() {
+    let only_iscsi = |gathers: &str| {
+        let text = file(gathers);
+        let listen = text.lines().find(|l| l.starts_with("listen = ")).unwrap().to_string();
+        read(&text.replacen(&listen, "", 1)).map(|_| ())
+    };
+    assert_eq!(only_iscsi(GOOD).unwrap_err().key, "gather[0].suffices");
+    let all = GOOD.replace("suffices = { at_least = 1, named = [\"north\"] }", "suffices = \"all\"");
+    assert_eq!(only_iscsi(&all).unwrap_err().key, "gather[0].otherwise");
+    only_iscsi(&all.replace("otherwise = \"in-part\"", "")).unwrap();
+}
+
+#[test]
+fn the_platform_cannot_turn_it_on() {
+    let value: toml::Value = toml::from_str(&file(GOOD)).unwrap();
+    let json = serde_json::to_value(value).unwrap().to_string();
+    assert!(config::read("config.json", &json).unwrap().gathers.is_empty());
+}
+
+#[test]
+fn a_reload_keeps_what_was_and_says_so() {
+    let path = std::env::temp_dir().join(format!("gather-{}.toml", std::process::id()));
+    let vars = |key: &str| (key == "GW_CONFIG").then(|| path.to_str().unwrap().to_string());
+    std::fs::write(&path, file(GOOD)).unwrap();
+    let old = config::from_env(vars).unwrap();
+    std::fs::write(&path, file(&GOOD.replacen("all-halls", "other", 1))).unwrap();
+    let (new, kept) = old.reload(vars).unwrap();
+    assert_eq!((kept, &new.gathers), (vec!["gather"], &old.gathers));
+    std::fs::write(&path, file("").replace("SlotsTotal = 4", "SlotsTotal = 2")).unwrap();
+    let fault = old.reload(vars).map(|_| ()).unwrap_err();
+    std::fs::remove_file(&path).unwrap();
+    assert_eq!(fault.key, "gather[0].part[1].shard", "the old ones stay, and must fit");
+}
--- a/crates/gather/tests/halls.rs
+++ b/crates/gather/tests/halls.rs
@@ -1,4 +1,5 @@
 //! What is known of halls, and what it does to gathers.
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 mod common;
 use common::*;
 use gather::*;
--- a/crates/gather/tests/hard.rs
+++ b/crates/gather/tests/hard.rs
@@ -1,5 +1,6 @@
 //! The hard cases, each by name. Remote halls are waited for during half of the time left less 20 ms: with a client that
 //! waits 1000 ms that is until 480, and all ends at 980.
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 mod common;
 use common::*;
 use gather::*;
--- a/crates/gather/tests/simulation.rs
+++ b/crates/gather/tests/simulation.rs
@@ -1,4 +1,5 @@
 //! Many gathers of eight fronts with a hall that fails for ten seconds, in simulated time.
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 mod common;
 use common::sim::{run, Figures, Knows, Trouble};
 use rstest::rstest;
--- a/crates/lichenrudder/src/bans.rs
+++ b/crates/lichenrudder/src/bans.rs
@@ -48,6 +48,8 @@
 #[derive(Default)]
 pub struct Bans {
     out: RefCell<BTreeSet<NodeId>>,
+    /// Those that the fronts have settled to take out.
+    settled: RefCell<BTreeSet<NodeId>>,
     /// As of when.
     at: Cell<i64>,
     /// Boxes that were listed lately, the oldest first.
@@ -57,7 +59,7 @@
 impl Bans {
     /// All that are taken out.
     pub fn all(&self) -> Vec<NodeId> {
-        self.out.borrow().iter().cloned().collect()
+        self.out.borrow().union(&self.settled.borrow()).cloned().collect()
     }
 
     /// Puts in place what was read, where it is newer than what is held; tells whether anything changed.
@@ -98,12 +100,21 @@
 
     /// What the module is told of an entry of the list.
     pub fn seen(&self, mut entry: NodeEntry) -> NodeEntry {
-        if entry.state == NodeState::Ready && self.out.borrow().contains(&entry.node) {
+        let out = self.out.borrow().contains(&entry.node) || self.settled.borrow().contains(&entry.node);
+        if entry.state == NodeState::Ready && out {
             entry.state = NodeState::Draining;
         }
         entry
     }
 
+    /// The fronts have settled that a box is out, or back; tells whether that changed anything.
+    pub fn settle(&self, node: NodeId, out: bool) -> bool {
+        match out {
+            true => self.settled.borrow_mut().insert(node),
+            false => self.settled.borrow_mut().remove(&node),
+        }
+    }
+
     /// Takes a box out, or puts it back; tells whether that changed anything, and none for one that was never listed.
     pub fn set(&self, context: &Context, node: &str, out: bool) -> Option<bool> {
         let node = NodeId(node.into());
--- a/crates/lichenrudder/src/boxes.rs
+++ b/crates/lichenrudder/src/boxes.rs
@@ -12,7 +12,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::{Rc, Weak};
 
-/// The most mail that may wait for one box.
+/// The most mail that may wait for one box before it is sent nothing more.
 const MAILBOX: usize = 1024;
 
 /// A peer, as others see it.
@@ -51,7 +51,7 @@
     /// Hands an attempt to its box; false where that can't be done, and it was not sent.
     pub fn start(&self, attempt: Attempt) -> bool {
         let mailbox = self.peers.borrow().get(&attempt.node).map(|p| p.mail.clone());
-        mailbox.is_some_and(|m| m.try_send(PeerMail::Start(attempt)).is_ok())
+        mailbox.is_some_and(|m| m.len() < MAILBOX && m.try_send(PeerMail::Start(attempt)).is_ok())
     }
 
     /// Ends all idle connections: the program ends.
@@ -97,6 +97,18 @@
         let _ = self.module.send(Mail::News(ListNews::Cached(entries))).await;
     }
 
+    /// The fronts have settled that a box is out, or back.
+    pub async fn settle(&self, node: &str, out: bool) {
+        if self.bans.settle(NodeId(node.into()), out) {
+            self.apply().await;
+        }
+    }
+
+    /// What each box is, and what is measured of it.
+    pub fn places(&self) -> Vec<Rc<Place>> {
+        self.peers.borrow().values().map(|p| p.place.clone()).collect()
+    }
+
     /// Puts in place what another process of the front has written down; tells whether anything changed.
     pub fn take_over(&self, read: Option<(i64, BTreeSet<NodeId>)>) -> bool {
         self.bans.take_over(read)
@@ -135,7 +147,8 @@
                 continue;
             }
             let peer = peers.entry(entry.node.clone()).or_insert_with(|| {
-                let (mail, inbox) = async_channel::bounded(MAILBOX);
+                // Guards the memory: one with a bound takes room for all of its letters at once, here 64 KiB a box.
+                let (mail, inbox) = async_channel::unbounded();
                 let place = Rc::new(Place {
                     entry: RefCell::new(entry.clone()),
                     address: Cell::new(None),
@@ -144,6 +157,7 @@
                     speaks: Cell::new(target.speaks),
                     target: RefCell::new(target.target.clone()),
                     idle: Cell::new(0),
+                    tally: Rc::default(),
                     life: Cell::new(0),
                 });
                 let own = self.own.clone();
--- a/crates/lichenrudder/src/client.rs
+++ b/crates/lichenrudder/src/client.rs
@@ -2,12 +2,14 @@
 use crate::command::{understand, Asked};
 use crate::context::Context;
 use crate::counts::Weight;
+use crate::gathering::{Begin, Owed};
 use crate::mail::{Mail, Module, Ticket};
 use crate::reply::{worded, Reply, Waiting};
 use crate::seats::{Doing, Seat};
 use crate::value::Answer;
 use crate::wire::{Reason, Wire};
 use async_channel::Sender;
+use dispatch::Request;
 use oxbowhill::interface::{Micros, RequestId};
 use ring::Ring;
 use std::collections::VecDeque;
@@ -26,6 +28,8 @@
 pub struct Slot {
     /// Its request, where the core has one.
     pub id: Option<RequestId>,
+    /// Whether its answer is gathered from parts.
+    pub gathers: bool,
     /// Its answer, once that is there.
     pub reply: Option<Waiting>,
 }
@@ -49,12 +53,14 @@
     pub whole_by: Option<Micros>,
     /// What was written when it last went on, and when that was.
     pub went_on: (u64, Micros),
+    /// Its side toward answers that are gathered, where there are any.
+    pub gathers: Option<Owed>,
 }
 
 impl Client {
     fn push(&mut self, id: Option<RequestId>, reply: Option<Reply>) {
         let reply = reply.map(|r| Waiting::new(&self.context, r));
-        self.slots.push_back(Slot { id, reply });
+        self.slots.push_back(Slot { id, gathers: false, reply });
     }
 
     /// Takes in the commands that have come, as many as may be unanswered and as one turn allows; tells whether it
@@ -147,6 +153,7 @@
             Asked::Now(reply) => self.push(None, Some(Reply::text(reply))),
             Asked::Request(request) if self.beyond => self.refuse(request.class),
             Asked::Request(request) => {
+                let Some(request) = self.gather(request) else { return };
                 let (id, class) = (self.context.number(), request.class);
                 let slot = self.first + self.slots.len() as u64;
                 let ticket = Ticket { slot, to: self.answers.clone(), class };
@@ -161,6 +168,29 @@
         }
     }
 
+    /// Hands a request over that is gathered from parts; gives any other back.
+    fn gather(&mut self, request: Request) -> Option<Request> {
+        let policy = self.gathers.as_ref().and_then(|o| o.gathering.policy(&self.context.config(), &request));
+        let (Some(owed), Some(policy)) = (&self.gathers, policy) else { return Some(request) };
+        let (id, class) = (self.context.number(), request.class);
+        let slot = self.first + self.slots.len() as u64;
+        let begin = Begin { id, policy, request, slot, to: owed.answers.0.clone() };
+        match owed.gathering.begin(begin) {
+            true => self.slots.push_back(Slot { id: Some(id), gathers: true, reply: None }),
+            false => self.refuse(class),
+        }
+        None
+    }
+
+    /// Takes an answer that was gathered.
+    pub fn gathered(&mut self, slot: u64, reply: Reply) {
+        let reply = Waiting::new(&self.context, reply);
+        let place = slot.checked_sub(self.first).and_then(|n| self.slots.get_mut(n as usize));
+        if let Some(slot) = place {
+            slot.reply = Some(reply);
+        }
+    }
+
     /// Whether the connection is to end now, and why.
     pub fn ends(&self, wire: &Wire) -> Option<Reason> {
         let context = &self.context;
--- /dev/null
+++ b/crates/lichenrudder/src/fellows.rs
@@ -0,0 +1,166 @@
+//! This front among those that it acts together with: what they have settled is done here, and what is measured here is
+//! told to them. An actor that meets the hosts (`accord`) through two mailboxes; without the section `[accord]` it is
+//! never started.
+use crate::boxes::Boxes;
+use crate::context::Context;
+use crate::mail::{Mail, Module};
+use accord::{Fellow, Handle, Measures, Seen, Settings, ToAccord, ToFront};
+use async_channel::Receiver;
+use async_io::Timer;
+use fleet::{BoxId, Hall, MemberId, Volume};
+use futures_lite::future;
+use maintenance::{Rules, Share};
+use oxbowhill::interface::{Micros, NodeId, NodeState};
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// How often this front measures. A drain is reported by the first figures that show nothing out.
+const MEASURE: Duration = Duration::from_millis(100);
+/// Letters of the hosts that may wait.
+const LETTERS: usize = 1024;
+/// The module is asked what it keeps away from; no answer in that time counts as nothing.
+const ASKED: Duration = Duration::from_millis(50);
+/// A box that the module keeps away from, and that has answered nothing for so long, is found dead here.
+const SILENT: i64 = 2_000_000;
+
+/// What the hosts are told, from the configuration in force.
+fn settings(context: &Context, section: &config::Accord) -> Result<Settings, String> {
+    let keys = section.keys().map_err(|e| e.to_string())?;
+    let fellow = |m: &config::Fellow| {
+        (MemberId(m.name.as_str().into()), Fellow { at: m.at, hall: Hall(m.hall.as_str().into()) })
+    };
+    let ms = |s: f64| (s * 1000.0) as u64;
+    let stage = ms(section.out.stage_s).max(1);
+    // Stages of a quarter, a half and all of the cold budget; the last lasts until the box is warm.
+    let rules = Rules {
+        out: section.out.most,
+        out_hall: section.out.per_hall,
+        out_volume: section.out.per_volume,
+        stages: vec![250, 500, 1000],
+        stage_ms: stage,
+        ..Rules::default()
+    };
+    rules.check().map_err(|e| format!("accord.out.{e}"))?;
+    Ok(Settings {
+        me: MemberId(context.config().name.as_str().into()),
+        hall: Hall(section.hall.as_str().into()),
+        listen: section.listen,
+        state: section.state.clone(),
+        keys,
+        members: section.members.iter().map(fellow).collect(),
+        bytes_s: section.bytes_s,
+        lease: Duration::from_secs_f64(section.lease_s),
+        drift: section.drift,
+        election: Duration::from_millis(section.election_ms),
+        rules,
+        share: section.evidence.share,
+        lasts: Duration::from_secs_f64(section.evidence.lasts_s),
+        seed: chance(),
+    })
+}
+
+/// A number drawn by chance: two stores must never have the same.
+fn chance() -> u64 {
+    use std::hash::{BuildHasher, Hasher, RandomState};
+    RandomState::new().build_hasher().finish() | 1
+}
+
+/// Starts the hosts, where the configuration has them; an error names the key.
+pub fn start(context: &Rc<Context>, module: &Module, boxes: &Rc<Boxes>) -> Result<Option<Handle>, String> {
+    let config = context.config();
+    let Some(section) = &config.accord else { return Ok(None) };
+    let (to_front, letters) = async_channel::bounded(LETTERS);
+    let log = |line: &str| crate::log::line(format_args!("{line}"));
+    let handle = accord::start(settings(context, section)?, to_front, log)?;
+    context.executor.spawn(follow(context.clone(), boxes.clone(), letters)).detach();
+    let measuring = measure(context.clone(), module.clone(), boxes.clone(), handle.clone());
+    context.executor.spawn(measuring).detach();
+    Ok(Some(handle))
+}
+
+/// Does what the fronts have settled.
+async fn follow(context: Rc<Context>, boxes: Rc<Boxes>, letters: Receiver<ToFront>) {
+    while let Ok(letter) = letters.recv().await {
+        let leaves = matches!(letter, ToFront::Drain { .. });
+        let (id, out, why) = match letter {
+            ToFront::Drain { id, grant } => (id, true, format!("grant={}", grant.map_or(0, |g| g.0))),
+            // Without a part the box stays drained at this front; others begin.
+            ToFront::Undrain { id, share: Share::Part(0) } => (id, true, "part=0".into()),
+            ToFront::Undrain { id, share: Share::Part(part) } => (id, false, format!("part={part}")),
+            ToFront::Undrain { id, share: Share::Whole } => (id, false, "part=whole".into()),
+        };
+        crate::log::line(format_args!("settled box={id} out={out} {why}"));
+        boxes.settle(&id.0, out).await;
+        if let Some(place) = boxes.places().into_iter().find(|p| p.entry.borrow().node.0 == id.0) {
+            match (out, leaves) {
+                (true, true) => place.tally.leave(),
+                // However the list tells of its start: it may be cold.
+                (false, _) => place.tally.come_back(context.clock.now()),
+                (true, false) => {}
+            }
+        }
+    }
+}
+
+/// Measures until the program ends.
+async fn measure(context: Rc<Context>, module: Module, boxes: Rc<Boxes>, handle: Handle) {
+    loop {
+        Timer::after(MEASURE).await;
+        let (to, from) = async_channel::bounded(1);
+        let asked = module.try_send(Mail::Avoided(to)).is_ok();
+        let late = async {
+            Timer::after(ASKED).await;
+            vec![]
+        };
+        let away = match asked {
+            true => future::or(async { from.recv().await.unwrap_or_default() }, late).await,
+            false => vec![],
+        };
+        handle.tell(ToAccord::Measured(measures(&context, &boxes, &away.into_iter().collect())));
+    }
+}
+
+fn measures(context: &Context, boxes: &Boxes, away: &BTreeSet<NodeId>) -> Measures {
+    let (config, now) = (context.config(), context.clock.now());
+    let ago = |at: Micros| u64::try_from(now.0 - at.0).unwrap_or(0);
+    let warm = config.accord.as_ref().map_or(0, |a| (a.out.warm_s * 1e6) as i64);
+    let mut measures = Measures { whole: context.life.serving.get(), ..Measures::default() };
+    let places = boxes.places();
+    for place in &places {
+        place.tally.on.set(true);
+        let entry = place.entry.borrow();
+        let id = BoxId(entry.node.0.clone());
+        let (out, sent) = place.tally.out();
+        let rates = place.tally.rates(now);
+        let silent = place.tally.answered().is_none_or(|at| now.0 - at.0 > SILENT);
+        let warm_up = config.settings.cold.warm_up.0;
+        let hall = config.zones.get(entry.zone as usize).map_or("", String::as_str);
+        let seen = Seen {
+            hall: hall.into(),
+            listed: entry.state != NodeState::Gone,
+            died: entry.state == NodeState::Ready && silent && away.contains(&entry.node),
+            cold: place.tally.back().is_some_and(|at| now.0 - at.0 < warm)
+                || entry.started.is_some_and(|at| now.0 - at.0 < warm_up),
+            out,
+            last_send: sent.map(ago),
+            units: rates.values().sum(),
+            failed: place.tally.take_failed(),
+        };
+        for (volume, rate) in rates {
+            let all = measures.volumes.entry(Volume::from(&*volume)).or_default();
+            all.0 += rate;
+            // Another box that holds the shard could serve it as well; without one its data is nowhere else.
+            let others = places.iter().filter(|other| {
+                let other = other.entry.borrow();
+                other.shard == entry.shard && other.state == NodeState::Ready && other.node != entry.node
+            });
+            let ids = others.map(|other| BoxId(other.entry.borrow().node.0.clone()));
+            ids.chain([id.clone()]).for_each(|id| *all.1.entry(id).or_default() += rate);
+        }
+        measures.boxes.insert(id, seen);
+    }
+    let reservations = config.settings.plans.iter().map(|p| (1000.0 * p.reservation) as u64);
+    measures.reserved = reservations.max().unwrap_or(0);
+    measures
+}
--- a/crates/lichenrudder/src/operators.rs
+++ b/crates/lichenrudder/src/operators.rs
@@ -3,7 +3,9 @@
 use crate::bans::Bans;
 use crate::boxes::Boxes;
 use crate::context::Context;
+use crate::gathering::Gathering;
 use crate::mail::{Mail, Module};
+use crate::orders;
 use async_io::Timer;
 use futures_lite::future;
 use std::fmt::Write;
@@ -25,11 +27,18 @@
     pub boxes: Rc<Boxes>,
     /// What is taken out by hand.
     pub bans: Rc<Bans>,
+    /// The hosts of what fronts settle among themselves, where there are any.
+    pub accord: Option<accord::Handle>,
+    /// Answers that are gathered from parts, where there are any.
+    pub gathering: Option<Gathering>,
 }
 
 /// The answer to one call.
 pub async fn answer(on: &Operators, method: &str, target: &str) -> Vec<u8> {
     let context = &on.context;
+    if target.starts_with(orders::FOLDER) {
+        return orders::answer(on.accord.as_ref(), method, target).await;
+    }
     let target = target.split('?').next().unwrap_or_default();
     let call = target.strip_prefix(FOLDER).and_then(|rest| rest.rsplit_once('/'));
     match (method, target, call) {
@@ -92,5 +101,8 @@
     ] {
         let _ = writeln!(out, "app.{what}={count}");
     }
+    if let Some(gathering) = &on.gathering {
+        gathering.figures(&mut out);
+    }
     out
 }
--- a/crates/lichenrudder/src/peer.rs
+++ b/crates/lichenrudder/src/peer.rs
@@ -4,6 +4,7 @@
 use crate::context::Context;
 use crate::exchange::{exchange, pass_on, Exchanged};
 use crate::mail::{Mail, Module};
+use crate::tally::Tally;
 use crate::value::{Ended, Passing};
 use crate::wire::Reason;
 use async_channel::{Receiver, Sender, WeakSender};
@@ -41,6 +42,8 @@
     pub target: RefCell<String>,
     /// Its idle connections.
     pub idle: Cell<usize>,
+    /// What is measured of it.
+    pub tally: Rc<Tally>,
     /// Its sessions or connections belong to this life of it.
     pub life: Cell<u32>,
 }
@@ -140,6 +143,7 @@
 /// Carries out one attempt and tells the module of its end.
 async fn serve(work: Work, attempt: Attempt, free: Option<Connection>, own: Option<Sender<PeerMail>>) {
     let Work { context, module, place, .. } = &work;
+    let _out = place.tally.begin();
     let mut ready = None;
     if let Some(mut free) = free {
         let rested = Micros(free.since.0 + REST).min(attempt.until);
@@ -160,6 +164,7 @@
             Some(attempt.ended(Ending::Moot))
         }
         Ok(mut connection) => {
+            place.tally.sent(context.clock.now());
             let (ended, mut keep) = match place.speaks.get() {
                 Speaks::Resp => exchange(context, &attempt, &mut connection.wire).await,
                 Speaks::Iscsi => {
@@ -180,6 +185,12 @@
                 Exchanged::Begun { parts, length } => {
                     let (passing, coming) = Passing::begin(&context.gauges, length);
                     let ended = Ended { value: Some(coming), ..attempt.ended(Ending::Ok) };
+                    place.tally.ended(
+                        context.clock.now(),
+                        Ending::Ok,
+                        &attempt.request.volume,
+                        attempt.request.units,
+                    );
                     let _ = module.send(Mail::Ended(ended)).await;
                     keep = pass_on(context, module, &attempt, &mut connection.wire, passing, parts).await;
                     None
@@ -195,6 +206,8 @@
         }
     };
     if let Some(ended) = ended {
+        let (volume, units) = (&attempt.request.volume, attempt.request.units);
+        place.tally.ended(context.clock.now(), ended.ending, volume, units);
         let _ = module.send(Mail::Ended(ended)).await;
     }
 }
--- a/crates/lichenrudder/src/platform.rs
+++ b/crates/lichenrudder/src/platform.rs
@@ -2,7 +2,9 @@
 use crate::client::{Client, PIPELINE};
 use crate::context::Context;
 use crate::counts::{Count, Weight};
+use crate::gathering::{Gathering, Owed};
 use crate::mail::{Mail, Module};
+use crate::reply::Reply;
 use crate::seats::{Seat, Seats, SHORT};
 use crate::value::Answer;
 use crate::wire::{accept, Moved, Reason, Wire};
@@ -20,11 +22,17 @@
 const FOLLOWED: Duration = Duration::from_millis(20);
 
 /// Accepts clients until the program ends.
-pub async fn listen(context: Rc<Context>, module: Module, seats: Rc<Seats>, listener: Async<TcpListener>) {
+pub async fn listen(
+    context: Rc<Context>,
+    module: Module,
+    seats: Rc<Seats>,
+    gathering: Option<Gathering>,
+    listener: Async<TcpListener>,
+) {
     // Guards the descriptors of everything else: beyond the bound some are refused, more are not accepted for now.
     let may = || context.gauges.clients.get() < context.client_bound() + context.beyond_bound();
     let take = |stream, address| {
-        let talk = client(context.clone(), module.clone(), seats.clone(), stream, address);
+        let talk = client(context.clone(), module.clone(), seats.clone(), gathering.clone(), stream, address);
         context.executor.spawn(talk).detach();
     };
     // Guards new connections against a process that is about to end, where another listens beside it.
@@ -40,6 +48,7 @@
 enum Woken {
     Piece(Option<Bytes>),
     Answer(Option<(u64, Answer)>),
+    Gathered(u64, Reply),
     Moved,
     Tick,
     MakeRoom,
@@ -50,6 +59,7 @@
     context: Rc<Context>,
     module: Module,
     seats: Rc<Seats>,
+    gathering: Option<Gathering>,
     stream: Async<TcpStream>,
     address: SocketAddr,
 ) {
@@ -71,6 +81,7 @@
         went_on: (0, context.clock.now()),
         context: context.clone(),
         module: module.clone(),
+        gathers: gathering.map(|g| Owed::new(g, PIPELINE)),
     };
     wire.reason = loop {
         let more = client.read(&mut wire);
@@ -117,9 +128,21 @@
                 None => future::pending().await,
             }
         };
+        let gathers = client.gathers.as_ref().map(|owed| owed.answers.1.clone());
+        let gathered = async {
+            match gathers.as_ref().map(|g| g.recv()) {
+                Some(next) => match next.await {
+                    Ok((slot, reply)) => Woken::Gathered(slot, reply),
+                    Err(_) => future::pending().await,
+                },
+                None => future::pending().await,
+            }
+        };
         let others = future::or(future::or(piece, leave), future::or(stop, tick));
+        let others = future::or(gathered, others);
         match future::or(future::or(answer, moved), others).await {
             Woken::Answer(Some((slot, answer))) => client.answered(slot, answer),
+            Woken::Gathered(slot, reply) => client.gathered(slot, reply),
             // Guards the client: a value that can't be finished ends its connection, and it can tell.
             Woken::Piece(piece) => {
                 if !client.piece(piece) {
@@ -133,7 +156,11 @@
             Woken::End(reason) => break reason,
         }
     };
-    for id in client.slots.iter().filter(|s| s.reply.is_none()).filter_map(|s| s.id) {
-        let _ = module.send(Mail::Left(id)).await;
+    for slot in client.slots.iter().filter(|s| s.reply.is_none()) {
+        match (slot.id, client.gathers.as_ref().filter(|_| slot.gathers)) {
+            (Some(id), Some(owed)) => owed.gathering.left(id).await,
+            (Some(id), None) => drop(module.send(Mail::Left(id)).await),
+            (None, _) => {}
+        }
     }
 }
--- a/crates/lichenrudder/src/reply.rs
+++ b/crates/lichenrudder/src/reply.rs
@@ -13,6 +13,8 @@
     Bytes(Vec<u8>),
     /// The head of a bulk string, and its value.
     Value(Vec<u8>, Bytes),
+    /// Pieces, one after the other, and what they hold of another bound until they are written.
+    Pieces(Vec<Bytes>, #[allow(dead_code, reason = "held, not read")] Vec<gather::Held>),
 }
 
 /// An answer that waits for its client; its bytes count against the bound while it does.
@@ -35,6 +37,7 @@
             // What is on its way counts where it comes in.
             Reply::Coming(..) => 0,
             Reply::Value(_, value) => value.len(),
+            Reply::Pieces(..) => 0,
         };
         // Guards the memory against clients that ask and do not read. It has run: failed, and not refused.
         let unsent = context.gauges.unsent.get() + weight;
@@ -70,6 +73,16 @@
                 Some(at) if at < value.len() => &value[at..],
                 Some(at) => &b"\r\n"[at - value.len()..],
             },
+            Reply::Pieces(pieces, _) => {
+                let mut left = at;
+                for piece in pieces {
+                    match left.checked_sub(piece.len()) {
+                        None => return &piece[left..],
+                        Some(rest) => left = rest,
+                    }
+                }
+                &[]
+            }
         }
     }
 }
--- a/crates/lichenrudder/src/start.rs
+++ b/crates/lichenrudder/src/start.rs
@@ -3,11 +3,12 @@
 use crate::bans::{self, Bans};
 use crate::boxes::Boxes;
 use crate::context::{Context, Other};
+use crate::gathering::Gathering;
 use crate::mail::{Mail, MAILBOX};
 use crate::operators::Operators;
 use crate::seats::Seats;
 use crate::stop::Running;
-use crate::{files, handover, iscsi_front, list, module, platform};
+use crate::{fellows, files, gathering_actor, handover, iscsi_front, list, module, platform};
 use async_channel::Receiver;
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
@@ -47,12 +48,12 @@
     let context = Context::new(config);
     let bans = Rc::new(Bans::default());
     let boxes = Boxes::new(context.clone(), module.clone(), bans.clone());
-    let on = Operators { context: context.clone(), module, boxes, bans };
+    let on = Operators { context: context.clone(), module, boxes, bans, accord: None, gathering: None };
     async_io::block_on(context.executor.run(serve(on, inbox)))
 }
 
-async fn serve(on: Operators, inbox: Receiver<Mail>) -> Result<(), String> {
-    let Operators { context, module, boxes, bans } = on.clone();
+async fn serve(mut on: Operators, inbox: Receiver<Mail>) -> Result<(), String> {
+    let Operators { context, module, boxes, bans, .. } = on.clone();
     let config = context.config();
     let claim = handover::Claim::make(&context);
     context.life.other.set(claim.as_ref().map_or(Other::None, handover::Claim::look));
@@ -67,11 +68,12 @@
     let (watch, asked) = async_channel::bounded(4);
     // Before anything is served: what an earlier process had banned.
     bans.take_over(files::path(&context).and_then(|front| bans::read(&front)));
-    let running = Running {
+    let mut running = Running {
         context: context.clone(),
         module: module.clone(),
         boxes: boxes.clone(),
         watch: watch.clone(),
+        accord: None,
     };
     let cached = |news| match news {
         ListNews::Full(entries) => ListNews::Cached(entries),
@@ -80,9 +82,18 @@
     running.know(&config.known, cached).await;
     let actor = module::run(context.clone(), boxes.clone(), inbox, watch);
     context.executor.spawn(actor).detach();
-    let actor = list::run(context.clone(), module.clone(), boxes, asked);
+    let actor = list::run(context.clone(), module.clone(), boxes.clone(), asked);
     context.executor.spawn(actor).detach();
     context.life.serving.set(!config.known.targets.is_empty());
+    on.accord = fellows::start(&context, &module, &boxes)?;
+    running.accord = on.accord.clone();
+    if let Some((gathering, inbox)) = Gathering::new(&config) {
+        let (context, boxes) = (context.clone(), boxes.clone());
+        let actor = gathering_actor::run(context.clone(), module.clone(), boxes, gathering.clone(), inbox);
+        context.executor.spawn(actor).detach();
+        on.gathering = Some(gathering);
+    }
+    let gathering = on.gathering.clone();
     if let Some(at) = config.admin {
         let listener = bind("admin", at)?;
         let form = Form::Operators(on);
@@ -103,7 +114,7 @@
     crate::log::line(format_args!("start name={name} listen={at:?} other={other:?}"));
     let seats = Seats::new(context.clone());
     if let Some(listener) = listener {
-        let front = platform::listen(context.clone(), module.clone(), seats.clone(), listener);
+        let front = platform::listen(context.clone(), module.clone(), seats.clone(), gathering, listener);
         context.executor.spawn(front).detach();
     }
     if let Some(front) = &config.iscsi {
--- a/crates/lichenrudder/src/stop.rs
+++ b/crates/lichenrudder/src/stop.rs
@@ -17,6 +17,9 @@
 /// After SIGTERM nothing that was asked in time is owed for longer than this.
 const LONGEST: i64 = 6_000_000;
 
+/// How long the word that this front leaves has to come into the log.
+const GOODBYE: Duration = Duration::from_millis(300);
+
 /// What signals act on.
 pub struct Running {
     /// What every actor stands on.
@@ -27,6 +30,8 @@
     pub boxes: Rc<Boxes>,
     /// The list's mailbox.
     pub watch: Sender<Ask>,
+    /// The hosts of what fronts settle among themselves, where there are any.
+    pub accord: Option<accord::Handle>,
 }
 
 impl Running {
@@ -52,6 +57,10 @@
         let _ = self.module.send(Mail::Reload(Some(Box::new(new.settings.clone())))).await;
         let (moved, fixed) = (new.discovery != old.discovery, new.discovery.is_none());
         let known = new.known.clone();
+        let keys = |c: &config::Config| c.accord.as_ref().and_then(|a| a.keys().ok());
+        if let (Some(accord), Some(keys)) = (&self.accord, keys(&new).filter(|k| Some(*k) != keys(&old))) {
+            accord.rekey(keys);
+        }
         context.configure(new);
         context.tallies.reloads.set((accepted + 1, invalid));
         if fixed {
@@ -89,6 +98,11 @@
         // What is still open ends now, each with its line.
         self.watch.close();
         self.boxes.stop();
+        if let Some(accord) = &self.accord {
+            // Nothing is sent any more: those who wait for this front's word need not.
+            accord.tell(accord::ToAccord::Stopping);
+            Timer::after(GOODBYE).await;
+        }
         Timer::after(Duration::from_millis(5)).await;
         crate::log::line(format_args!("end"));
     }
--- a/crates/lichenrudder/tests/exchanges.rs
+++ b/crates/lichenrudder/tests/exchanges.rs
@@ -1,4 +1,5 @@
 //! Each file under `exchanges` is played against the program and compared byte for byte.
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 mod common;
 use rstest::rstest;
 use std::path::PathBuf;
--- /dev/null
+++ b/crates/lichenrudder/tests/gather.rs
@@ -0,0 +1,182 @@
+//! Answers that are gathered from parts, with the real program, boxes in two halls, and links that are cut.
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+#[path = "gather/client.rs"]
+mod client;
+
+use client::{joined, value, Answer, Client, ALL, ANY, NAMED, PATIENCE, VOLUME, WAIT};
+use gather::{parse, Cause, Told};
+use rig::engine::until;
+use rig::operator::call;
+use rig::rig::Rig;
+use rig::setup::Setup;
+use std::collections::BTreeSet;
+use std::path::Path;
+use std::process::Command;
+use std::time::Duration;
+
+fn gathers() -> String {
+    let mut text = String::new();
+    for (piece, suffices) in
+        [(ANY, "{ at_least = 2 }"), (NAMED, "{ at_least = 2, named = [\"n1\"] }"), (ALL, "\"all\"")]
+    {
+        text += &format!(
+            "[[gather]]\nname = \"g{piece:x}\"\nvolume = {VOLUME:?}\npiece = \"{piece:016x}\"\n\
+             class = \"stock-read\"\nsuffices = {suffices}\n"
+        );
+        for n in 0..4 {
+            let hall = ["hall-a", "hall-b"][n % 2];
+            text += &format!(
+                "[[gather.part]]\nname = \"n{n}\"\nhall = {hall:?}\npiece = \"{n:016x}\"\nshard = {n}\n"
+            );
+        }
+    }
+    text
+}
+
+/// One front and four boxes, each with a shard of its own; the boxes stand in two halls in turn.
+fn rig(gathers: &str) -> Rig {
+    let mut setup = Setup::usual(Path::new(env!("CARGO_BIN_EXE_lichenrudder")), 7).with(gathers);
+    (setup.fronts, setup.boxes, setup.cells) = (1, 4, 4);
+    setup.text = setup.text.replacen("DeadlineS = 1.2", "DeadlineS = 3.0", 1);
+    let mut rig = Rig::new(setup).unwrap();
+    for n in 0..4 {
+        let shelf = rig.shelf_of(n as i64).unwrap();
+        shelf.lock().unwrap().write((VOLUME.into(), n), value(n as usize).as_bytes().into());
+    }
+    rig.start(PATIENCE).unwrap();
+    rig
+}
+
+fn evidence(rig: &Rig) -> rig::verdict::Evidence {
+    rig.evidence(&rig::clients::History::default())
+}
+
+fn figure(rig: &Rig, key: &str) -> Option<u64> {
+    let (_, text) = call(rig.fronts[0].admin, "GET", "/v1/metrics", "").unwrap();
+    text.lines().find_map(|l| l.strip_prefix(&format!("app.gathers.{key}="))?.parse().ok())
+}
+
+/// What a failure names: its cause, and the parts that won't come.
+fn failed(text: &str) -> (Cause, BTreeSet<usize>) {
+    match text.strip_prefix("ERR ").and_then(parse) {
+        Some(Told::Failed(cause, missing)) => (cause, places(&missing)),
+        _ => panic!("{text}"),
+    }
+}
+
+fn places(missing: &[gather::Missing]) -> BTreeSet<usize> {
+    missing.iter().map(|m| m.part[1..].parse().unwrap()).collect()
+}
+
+#[test]
+fn a_hall_that_is_cut_off_is_named_in_time_and_is_never_told_as_whole() {
+    let rig = rig(&gathers());
+    let mut client = Client::new(rig.fronts[0].listen);
+    client.whole(ANY);
+    // A booking of the same piece is one request, and each part one of its own that names its shard.
+    client.book(ANY, "b1");
+    let entries = evidence(&rig).entries;
+    assert!(entries.iter().any(|e| e.id == "b1" && e.write && e.key.1 == ANY));
+    assert!(entries.iter().all(|e| e.id == "b1" || (e.id.contains('~') && e.key.1 == e.shard as u64)));
+    let boxes: Vec<String> = vec!["box-1".into(), "box-3".into()];
+    rig.links.split(&["front-0".into()], &boxes);
+    let south = BTreeSet::from([1, 3]);
+    let mut in_part = 0;
+    for _ in 0..10 {
+        let (answer, took) = client.ask(ANY);
+        // A machine that stands still may take more, so what it took is only weighed where it did not.
+        let stood: Duration = evidence(&rig).hiccups.iter().map(|h| h.1 - h.0).sum();
+        assert!(took < WAIT + stood, "{took:?}");
+        match answer {
+            Answer::InPart(value, Told::Part(missing)) => {
+                let gone = places(&missing);
+                assert!(gone.is_superset(&south), "{missing:?}");
+                assert!(missing.iter().all(|m| m.part.as_ref() != "n1" || &*m.hall.0 == "hall-b"));
+                assert_eq!(value, joined(&gone), "{missing:?}");
+                in_part += u32::from(gone == south);
+            }
+            Answer::Error(_) => {}
+            other => panic!("{other:?}"),
+        }
+    }
+    assert!(in_part > 0, "no answer in part");
+    // Without the part that is needed there is no answer. Where all that is missing was turned away the client is, too.
+    for piece in [NAMED, ALL, NAMED, ALL] {
+        match client.ask(piece).0 {
+            Answer::Error(text) => {
+                assert!(text.starts_with("BUSY") || failed(&text).1.contains(&1), "{text}")
+            }
+            other => panic!("{other:?}"),
+        }
+    }
+    rig.links.heal_all();
+    client.whole(ANY);
+    client.whole(NAMED);
+    client.whole(ALL);
+    for kind in ["whole", "in_part", "failed"] {
+        assert_eq!(figure(&rig, kind), client.counts.get(kind).copied(), "one answer each: {kind}");
+    }
+}
+
+#[test]
+fn a_part_that_comes_late_is_counted_and_never_answered() {
+    // Other halls are waited for for a tenth of a second, and answer in two.
+    let short = gathers().replace("suffices =", "remote_share = 0.04\nsuffices =");
+    let rig = rig(&short);
+    let mut client = Client::new(rig.fronts[0].listen);
+    client.whole(ANY);
+    for n in [1, 3] {
+        let place = rig.place(&format!("box-{n}")).unwrap();
+        place.set(rig::boxes::Manner { service: Duration::from_millis(200), ..place.manner() });
+    }
+    until(PATIENCE, || {
+        client.ask(ANY);
+        (figure(&rig, "late_parts")? > 0).then_some(())
+    })
+    .expect("a late part");
+    assert!(client.counts.contains_key("in_part"), "{:?}", client.counts);
+    // Without the part that is needed there is no answer, and the failure names it.
+    until(PATIENCE, || match client.ask(NAMED).0 {
+        Answer::Error(text) if text.starts_with("BUSY") => None,
+        Answer::Error(text) => {
+            let (cause, missing) = failed(&text);
+            assert!(!missing.is_empty(), "{text}");
+            (cause == Cause::Named("n1".into()) && missing.contains(&1)).then_some(())
+        }
+        Answer::Whole(_) => None,
+        other => panic!("{other:?}"),
+    })
+    .expect("a failure that names the part");
+    // A client that goes before its answer is forgotten, with its parts.
+    until(PATIENCE, || {
+        Client::new(rig.fronts[0].listen).send(ALL);
+        (figure(&rig, "left")? > 0).then_some(())
+    })
+    .expect("its leaving is seen");
+}
+
+#[test]
+fn without_a_table_there_is_no_trace_of_it() {
+    let rig = rig("");
+    let mut client = Client::new(rig.fronts[0].listen);
+    let shelf = rig.shelf_of(0).unwrap();
+    shelf.lock().unwrap().write((VOLUME.into(), ANY), b"one".as_slice().into());
+    let (_, text) = call(rig.fronts[0].admin, "GET", "/v1/metrics", "").unwrap();
+    assert!(!text.contains("gather"), "{text}");
+    assert!(!matches!(client.ask(ANY).0, Answer::InPart(..)));
+}
+
+#[test]
+fn a_front_that_only_speaks_iscsi_is_refused_what_it_cannot_say() {
+    let file = std::env::temp_dir().join(format!("gather-iscsi-{}.toml", std::process::id()));
+    let program = env!("CARGO_BIN_EXE_lichenrudder");
+    let written = Command::new(program).args(["config", "write", "x"]).output().unwrap().stdout;
+    let text = String::from_utf8(written).unwrap();
+    let listen = text.lines().find(|l| l.starts_with("listen = ")).unwrap().to_string();
+    let gathers = gathers().replace("hall-b", "hall-a");
+    std::fs::write(&file, text.replacen(&listen, "", 1) + &gathers).unwrap();
+    let out = Command::new(program).args(["config", "check"]).arg(&file).output().unwrap();
+    std::fs::remove_file(&file).unwrap();
+    let said = String::from_utf8(out.stderr).unwrap();
+    assert!(!out.status.success() && said.contains("gather[0].suffices"), "{said}");
+}
--- a/crates/rig/src/setup.rs
+++ b/crates/rig/src/setup.rs
@@ -91,7 +91,7 @@
 
     /// What stands for the placeholders in front `n`'s file: `NAME`, `LISTEN`, `ADMIN`, `AGENT`, `HEALTH`, `ISCSI`, `DISCOVERY`,
     /// `STATE` (its folder), `UDP` and `TCP` (its own addresses for other fronts), `UDP.front-N` and `TCP.front-N` (where it reaches the
-    /// others), `HALL`, `HALLS`, `FRONTS` (their number), `SEED`, and the caller's.
+    /// others, and its own; one port for both), `HALL`, `HALLS`, `FRONTS` (their number), `SEED`, and the caller's.
     pub fn values(&self, site: &Site, n: usize, folder: &Path) -> BTreeMap<String, String> {
         let mut values = self.more.clone();
         let mut put = |key: &str, value: String| drop(values.insert(key.into(), value));
@@ -113,6 +113,9 @@
             ("TCP", TCP),
         ];
         own.iter().for_each(|(key, port)| put(key, own_address(site, n, *port).to_string()));
+        for key in ["UDP", "TCP"] {
+            put(&format!("{key}.{}", Setup::front(n)), own_address(site, n, UDP).to_string());
+        }
         for other in (0..self.fronts).filter(|o| *o != n) {
             put(&format!("UDP.{}", Setup::front(other)), view(site, n, UDP + 1 + other as u16).to_string());
             put(&format!("TCP.{}", Setup::front(other)), view(site, n, TCP + 1 + other as u16).to_string());
@@ -123,7 +126,8 @@
 
 /// Where fronts listen for each other; the ports after these are where they reach each other.
 pub(crate) const UDP: u16 = 7000;
-pub(crate) const TCP: u16 = 7100;
+/// The same: a front that has one address for both is reached by both there.
+pub(crate) const TCP: u16 = UDP;
 /// The first port at which a front reaches boxes.
 pub(crate) const BOXES: u16 = 6400;
 
