--- a/crates/consensus/src/append.rs
+++ b/crates/consensus/src/append.rs
@@ -1,7 +1,7 @@
 //! A follower's side of the log.
 use crate::event::{Action, Role};
 use crate::log::Snapshot;
-use crate::message::{Entry, Message, Outcome, Payload, Position};
+use crate::message::{Entry, Message, Outcome, Payload, Position, FAR};
 use crate::node::Node;
 use crate::progress::Way;
 use fleet::{Index, MemberId};
@@ -39,19 +39,20 @@
 
     /// Guards the log against what no leader sends.
     fn well_formed(&self, term: u64, prev: Position, entries: &[Entry]) -> bool {
+        if prev.index >= FAR || prev.term > term || (prev.index == 0) != (prev.term == 0) {
+            return false;
+        }
         let mut last = prev;
         entries.iter().all(|e| {
             let follows = e.index.0 == last.index + 1 && e.term >= last.term && e.term > 0 && e.term <= term;
-            last = Position { term: e.term, index: e.index.0 };
+            last = Position { term: e.term, index: e.index.0.min(FAR) };
             let lives = match &e.payload {
                 Payload::Founding(lives) => e.index.0 == 1 && lives.keys().eq(self.config.members.iter()),
                 Payload::Readmit { member, .. } => e.index.0 > 1 && self.config.members.contains(member),
                 Payload::Noop | Payload::Data(_) => e.index.0 > 1,
             };
             follows && lives
-        }) && (prev.index == 0) == (prev.term == 0)
-            && prev.term <= term
-            && prev.index < u64::MAX / 2
+        })
     }
 
     /// Whether entries would change what this member knows to be committed.
--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -7,6 +7,9 @@
 /// The life of each member's store.
 pub type Lives = BTreeMap<MemberId, u64>;
 
+/// Guards additions to terms and indices against overflow: none honestly gets there.
+pub(crate) const FAR: u64 = u64::MAX / 2;
+
 /// A place in a log. Orders by term, then index: the greater end is the one more up to date.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Position {
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -5,7 +5,7 @@
 use crate::event::{Action, Event, Role, Why};
 use crate::fault::Fault;
 use crate::log::Log;
-use crate::message::{Lives, Message, Payload};
+use crate::message::{Lives, Message, Payload, FAR};
 use crate::progress::Lead;
 use crate::stored::Stored;
 use crate::transfer::Incoming;
@@ -144,6 +144,10 @@
             self.counts.foreign += 1;
             return;
         }
+        if message.term() >= FAR {
+            self.counts.malformed += 1;
+            return;
+        }
         match message {
             Message::Hello { term } => self.on_hello(from, life, term),
             Message::Found { term, lives } => self.on_found(from, life, term, lives),
--- a/crates/consensus/src/stored.rs
+++ b/crates/consensus/src/stored.rs
@@ -3,7 +3,7 @@
 use crate::event::{Batch, Hard};
 use crate::fault::Fault;
 use crate::log::{Log, Snapshot};
-use crate::message::{Entry, Payload};
+use crate::message::{Entry, Payload, FAR};
 use fleet::Index;
 use serde::{Deserialize, Serialize};
 
@@ -49,7 +49,10 @@
         if base.index > 0 && !known(&snapshot.lives) {
             return Err(Fault::Others);
         }
-        if (base.index == 0) != (base.term == 0) || (base.index == 0 && !snapshot.data.is_empty()) {
+        if base.index >= FAR
+            || (base.index == 0) != (base.term == 0)
+            || (base.index == 0 && !snapshot.data.is_empty())
+        {
             return Err(Fault::Snapshot);
         }
         if let Some((member, _)) = self.hard.vote.as_ref().filter(|(m, _)| !config.members.contains(m)) {
@@ -78,7 +81,7 @@
             }
             log.push(entry);
         }
-        if log.last().term > self.hard.term {
+        if log.last().term > self.hard.term || self.hard.term >= FAR {
             return Err(Fault::TermAhead);
         }
         if self.hard.commit.0 > log.last().index {
--- a/crates/consensus/src/transfer.rs
+++ b/crates/consensus/src/transfer.rs
@@ -1,6 +1,6 @@
 //! Snapshots between members, piece by piece.
 use crate::log::Snapshot;
-use crate::message::{Lives, Message, Outcome, Position};
+use crate::message::{Lives, Message, Outcome, Position, FAR};
 use crate::node::Node;
 use crate::progress::{Progress, Way};
 use fleet::MemberId;
@@ -67,7 +67,7 @@
         let size = usize::try_from(size).unwrap_or(usize::MAX);
         let end = usize::try_from(offset).unwrap_or(usize::MAX).saturating_add(bytes.len());
         let fits = size <= self.config.snapshot_bytes && end <= size && (end == size || !bytes.is_empty());
-        if !known || !fits || at.index == 0 || at.term == 0 || at.term > term {
+        if !known || !fits || at.index == 0 || at.index >= FAR || at.term == 0 || at.term > term {
             self.counts.malformed += 1;
             return;
         }
--- a/crates/consensus/tests/rules/main.rs
+++ b/crates/consensus/tests/rules/main.rs
@@ -2,6 +2,7 @@
 #![allow(clippy::unwrap_used, clippy::panic)]
 mod disks;
 mod lives;
+mod noise;
 mod trio;
 
 use consensus::{Action, Event, Message, Outcome, Payload, Position, Why};
@@ -49,6 +50,10 @@
     trio.part(0, &[1, 2]);
     trio.propose(0, 7);
     trio.give(0, Event::Barrier { ticket: 8 });
+    // An answer to an earlier round confirms nothing.
+    let late = Message::Appended { term: 1, round: 1, counts: true, outcome: Outcome::Match(2) };
+    trio.say(1, 2, 0, late);
+    assert!(!trio.told.iter().any(|(_, a)| matches!(a, Action::Readable { .. })));
     trio.run(300);
     assert!(trio.leads(0) && !trio.leased().contains(&0));
     trio.run(500);
@@ -91,6 +96,22 @@
     assert_eq!(trio.node(0).commit().0, old.index + 1);
 }
 
+/// A barrier is answered after a round, with all that was committed before it.
+#[test]
+fn barrier_takes_a_round() {
+    let mut trio = Trio::led(3);
+    trio.propose(0, 1);
+    trio.run(10);
+    trio.give(0, Event::Barrier { ticket: 2 });
+    trio.give(1, Event::Barrier { ticket: 3 });
+    let readable = Action::Readable { ticket: 2, index: trio.node(0).commit() };
+    assert!(!trio.told.contains(&(0, readable.clone())));
+    trio.run(3);
+    assert!(trio.told.contains(&(0, readable)));
+    let why = Why::NotLeader(Some(name(0)));
+    assert!(trio.told.contains(&(1, Action::Refused { ticket: 3, why })));
+}
+
 /// Bounds refuse, and answer each proposal once.
 #[test]
 fn bounds_refuse() {
