Shut a client's connection before it closes, and force the remaining hard moments in tests

A close over bytes that were not read resets the connection, and answers that the system still holds go with it: a client that was slow to read 60 KB and had sent what can't be understood lost its answer. The connection is shut now and read on, to no end, until the client closes or 0.2 s have passed (Wire::farewell): after faults, at the bound, and at the program's end. What comes meanwhile is not understood, so not sent on. One that makes room closes at once as before: nothing is owed there.

--- a/crates/lichenrudder/src/platform.rs
+++ b/crates/lichenrudder/src/platform.rs
@@ -21,6 +21,9 @@
 /// How often a process that ends looks whether another has come.
 const FOLLOWED: Duration = Duration::from_millis(20);
 
+/// How long a client may take to close a connection that is shut.
+const FAREWELL: Duration = Duration::from_millis(200);
+
 /// Accepts clients until the program ends.
 pub async fn listen(
     context: Rc<Context>,
@@ -167,4 +170,13 @@
             (None, _) => {}
         }
     }
+    // Its seat is free before its descriptor is.
+    drop(client);
+    // One that makes room does so at once; nothing is owed on it.
+    if matches!(wire.reason, Reason::Protocol | Reason::Bound | Reason::Stopped) {
+        let late = async {
+            Timer::after(FAREWELL).await;
+        };
+        future::or(wire.farewell(), late).await;
+    }
 }
--- a/crates/lichenrudder/src/wire.rs
+++ b/crates/lichenrudder/src/wire.rs
@@ -127,6 +127,22 @@
         Ok(Wire::new(stream, kind, address, bounds))
     }
 
+    /// Shuts the sending and reads on, to no end, until the other side has closed. Guards answers on their way: a close over
+    /// bytes that were not read resets the connection, and what the system still holds goes with it.
+    pub async fn farewell(&mut self) {
+        if self.stream.get_ref().shutdown(std::net::Shutdown::Write).is_err() {
+            return;
+        }
+        loop {
+            // What comes now is not understood, and so not sent on: its client sends it again on another connection.
+            self.input.consume(usize::MAX);
+            match self.next().await {
+                Some(Ok(Moved::Read)) => {}
+                _ => return,
+            }
+        }
+    }
+
     /// Whether the other side has closed, though what it sent before may not be read yet.
     pub fn hung_up(&self) -> bool {
         let mut look = [PollFd::new(self.stream.get_ref(), PollFlags::RDHUP)];
--- a/crates/lichenrudder/tests/common/mod.rs
+++ b/crates/lichenrudder/tests/common/mod.rs
@@ -50,6 +50,17 @@
     Program { ip: ip.into(), child, file }
 }
 
+/// The same, with so many descriptors from the system.
+pub fn spawn_limited(text: &str, ip: &str, descriptors: usize) -> Program {
+    let n = NEXT.fetch_add(1, Ordering::Relaxed);
+    let file = std::env::temp_dir().join(format!("lichenrudder-{ip}-{n}.toml"));
+    std::fs::write(&file, text).unwrap();
+    let run = format!("ulimit -n {descriptors} && exec {}", env!("CARGO_BIN_EXE_lichenrudder"));
+    let mut command = Command::new("sh");
+    command.args(["-c", &run]).env("GW_CONFIG", &file).env_remove("TMPDIR").stderr(Stdio::null());
+    Program { ip: ip.into(), child: command.spawn().unwrap(), file }
+}
+
 impl Program {
     pub fn start(text: &str, ip: &str) -> Program {
         spawn(text, ip, Stdio::null())
--- /dev/null
+++ b/crates/lichenrudder/tests/descriptors.rs
@@ -0,0 +1,68 @@
+//! Idle clients fill the descriptors while discovery is down: calls to discovery, connections to boxes and operators' calls
+//! still get theirs. The limit is the system's own, and not the program's word alone.
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+mod common;
+use common::{address, config, spawn_limited};
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::time::{Duration, Instant};
+
+const SOCKETS: usize = 96;
+
+fn ready(stream: &mut TcpStream) -> bool {
+    let mut got = [0; 7];
+    stream.write_all(b"*1\r\n$4\r\nPING\r\n").is_ok()
+        && stream.read_exact(&mut got).is_ok()
+        && got == *b"+PONG\r\n"
+}
+
+#[test]
+fn idle_clients_leave_descriptors_to_discovery_boxes_and_operators() {
+    let ip = address();
+    let text = config(&ip).replace("seed = \"7\"", &format!("seed = \"7\"\ndiscovery = \"{ip}:8500\""));
+    let text = text.replace("seed =", &format!("limits = {{ sockets = {SOCKETS} }}\nseed ="));
+    let boxes = TcpListener::bind((ip.as_str(), 6390)).unwrap();
+    let program = spawn_limited(&text, &ip, SOCKETS);
+    let mut first = program.connect(6379);
+    assert!(ready(&mut first));
+    // Nobody listens for discovery. Four times as many clients come as there are descriptors; some ask, all stay.
+    let mut idle = vec![];
+    for n in 0..4 * SOCKETS {
+        let stream = TcpStream::connect((ip.as_str(), 6379)).unwrap();
+        stream.set_read_timeout(Some(Duration::from_millis(50))).unwrap();
+        if n % 3 == 0 {
+            let _ = (&stream).write_all(b"*1\r\n$4\r\nPING\r\n");
+        }
+        idle.push(stream);
+    }
+    std::thread::sleep(Duration::from_millis(500));
+    let held = std::fs::read_dir(format!("/proc/{}/fd", program.child.id())).unwrap().count();
+    assert!(held < SOCKETS, "{held} descriptors");
+    // Discovery is back: it is called, and tells of a box that is up.
+    let listener = TcpListener::bind((ip.as_str(), 8500)).unwrap();
+    let back = Instant::now();
+    let (mut watch, _) = listener.accept().unwrap();
+    assert!(back.elapsed() < Duration::from_secs(3), "{:?}", back.elapsed());
+    watch.read(&mut [0; 1024]).map(drop).unwrap();
+    watch.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n").unwrap();
+    // Operators are answered.
+    let mut operator = program.connect(6382);
+    operator.write_all(b"GET /v1/readyz HTTP/1.1\r\nHost: x\r\n\r\n").unwrap();
+    let mut page = String::new();
+    let _ = operator.read_to_string(&mut page);
+    assert!(page.starts_with("HTTP/1.1 200"), "{page:?}");
+    // And a client that is let in has its request sent on: those that stand make room for it.
+    let mut client = program.connect(6379);
+    assert!(ready(&mut client));
+    let list = "c=stock-read,t=premium,d=1000,volume=00000003b4d60021,units=1,shard=0,hosts=1";
+    let mut ask = vec![];
+    resp::write_command(&mut ask, &[b"PREAD", b"00000000000000a1", b"1", list.as_bytes()]);
+    client.write_all(&ask).unwrap();
+    let (mut disk, _) = boxes.accept().unwrap();
+    disk.read(&mut [0; 1024]).map(drop).unwrap();
+    disk.write_all(b"*3\r\n$1\r\nA\r\n$-1\r\n$-1\r\n").unwrap();
+    let mut got = [0; 7];
+    client.read_exact(&mut got).unwrap();
+    assert_eq!(&got, b"$1\r\nA\r\n");
+    drop(idle);
+}
--- a/crates/lichenrudder/tests/endings.rs
+++ b/crates/lichenrudder/tests/endings.rs
@@ -160,3 +160,84 @@
     }
     assert!(ended, "it goes on for ever");
 }
+
+/// Clients rest until the front ends them; each sends a request in the very moment, a millisecond apart. It is answered,
+/// or it was never sent on and its connection ends without a byte.
+#[test]
+fn what_comes_in_the_moment_of_the_close_is_served_or_left_alone() {
+    let ip = address();
+    let listener = TcpListener::bind((ip.as_str(), 6390)).unwrap();
+    let (note, noted) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let (note, mut stream, mut seen) = (note.clone(), stream.unwrap(), vec![]);
+            std::thread::spawn(move || {
+                while let Some(piece) = asked(&mut stream, &mut seen, Duration::from_secs(8)) {
+                    note.send(piece).unwrap();
+                    let _ = stream.write_all(SERVED);
+                }
+            });
+        }
+    });
+    let text = config(&ip).replace("Guaranteed = 500.0", "Guaranteed = 5000.0");
+    let mut program = Program::start(&text, &ip);
+    let resting: Vec<TcpStream> = (0..90).map(|_| program.connect(6379)).collect();
+    for client in &resting {
+        let mut client = client;
+        client.write_all(b"*1\r\n$4\r\nPING\r\n").unwrap();
+        client.read_exact(&mut [0; 7]).unwrap();
+    }
+    // The longest deadline is 3 s, the kill 0.7 s later, and connections are closed 0.2 s before it, within 50 ms.
+    let close = Instant::now() + Duration::from_millis(3_500);
+    program.signal("TERM");
+    let asks = resting.into_iter().enumerate().map(|(n, mut client)| {
+        std::thread::spawn(move || {
+            let at = close + Duration::from_millis(n as u64) - Duration::from_millis(15);
+            std::thread::sleep(at.saturating_duration_since(Instant::now()));
+            let mut got = vec![];
+            if client.write_all(&ask(n as u64 + 1000, 500)).is_ok() {
+                let _ = client.read_to_end(&mut got);
+            }
+            (format!("{:016x}", n + 1000), got)
+        })
+    });
+    let ends: Vec<(String, Vec<u8>)> =
+        asks.collect::<Vec<_>>().into_iter().map(|t| t.join().unwrap()).collect();
+    assert_eq!(program.exit(), 0);
+    let ran: Vec<String> = noted.try_iter().collect();
+    let mut kinds = [0; 3];
+    for (piece, got) in ends {
+        let served = got == b"$1\r\nA\r\n";
+        let refused = got.starts_with(b"-BUSY") && got.ends_with(b"\r\n");
+        assert!(served || refused || got.is_empty(), "{piece}: {}", got.escape_ascii());
+        assert_eq!(served, ran.contains(&piece), "{piece} ran, and its client has {}", got.escape_ascii());
+        kinds[if served { 0 } else { 1 + usize::from(got.is_empty()) }] += 1;
+    }
+    println!("served, refused, left alone: {kinds:?}");
+    assert!(kinds[2] > 0, "none came in that moment: {kinds:?}");
+}
+
+/// An answer is on its way to a client that is slow to read, which meanwhile sends what can't be understood, and more.
+#[test]
+fn a_close_over_unread_bytes_does_not_take_answers_with_it() {
+    let ip = address();
+    let listener = TcpListener::bind((ip.as_str(), 6390)).unwrap();
+    let program = Program::start(&patient(&ip), &ip);
+    let mut client = program.connect(6379);
+    rustix::net::sockopt::set_socket_recv_buffer_size(&client, 4096).unwrap();
+    client.write_all(&ask(1, 4000)).unwrap();
+    let (mut disk, _) = listener.accept().unwrap();
+    disk.read(&mut [0; 1024]).map(drop).unwrap();
+    let value = vec![b'v'; 60_000];
+    let mut answer = b"*3\r\n".to_vec();
+    resp::write_bulk(&mut answer, &value);
+    answer.extend_from_slice(b"$-1\r\n$-1\r\n");
+    disk.write_all(&answer).unwrap();
+    std::thread::sleep(Duration::from_millis(100));
+    client.write_all(&[b"nonsense\r\n".to_vec(), vec![b'x'; 300_000]].concat()).unwrap();
+    std::thread::sleep(Duration::from_millis(20));
+    let mut got = vec![];
+    let end = client.read_to_end(&mut got);
+    assert!(got.len() > value.len(), "{} bytes came of {}, {end:?}", got.len(), value.len());
+    assert!(got.windows(5).any(|w| w == b"-ERR "), "the fault is told");
+}
