--- a/crates/lichenrudder/tests/common/mod.rs
+++ b/crates/lichenrudder/tests/common/mod.rs
@@ -38,27 +38,28 @@
 
 /// The same, with a folder in which it finds what another process of the front leaves.
 pub fn spawn_in(text: &str, ip: &str, stderr: Stdio, folder: Option<&Path>) -> Program {
-    let n = NEXT.fetch_add(1, Ordering::Relaxed);
-    let file = std::env::temp_dir().join(format!("lichenrudder-{ip}-{n}.toml"));
-    std::fs::write(&file, text).unwrap();
     let mut command = Command::new(env!("CARGO_BIN_EXE_lichenrudder"));
-    command.env("GW_CONFIG", &file).env_remove("TMPDIR").stderr(stderr);
+    command.stderr(stderr).env_remove("TMPDIR");
     if let Some(folder) = folder {
         command.env("TMPDIR", folder);
     }
-    let child = command.spawn().unwrap();
-    Program { ip: ip.into(), child, file }
+    launch(command, text, ip)
 }
 
 /// The same, with so many descriptors from the system.
 pub fn spawn_limited(text: &str, ip: &str, descriptors: usize) -> Program {
+    let run = format!("ulimit -n {descriptors} && exec {}", env!("CARGO_BIN_EXE_lichenrudder"));
+    let mut command = Command::new("sh");
+    command.args(["-c", &run]).stderr(Stdio::null()).env_remove("TMPDIR");
+    launch(command, text, ip)
+}
+
+fn launch(mut command: Command, text: &str, ip: &str) -> Program {
     let n = NEXT.fetch_add(1, Ordering::Relaxed);
     let file = std::env::temp_dir().join(format!("lichenrudder-{ip}-{n}.toml"));
     std::fs::write(&file, text).unwrap();
-    let run = format!("ulimit -n {descriptors} && exec {}", env!("CARGO_BIN_EXE_lichenrudder"));
-    let mut command = Command::new("sh");
-    command.args(["-c", &run]).env("GW_CONFIG", &file).env_remove("TMPDIR").stderr(Stdio::null());
-    Program { ip: ip.into(), child: command.spawn().unwrap(), file }
+    let child = command.env("GW_CONFIG", &file).spawn().unwrap();
+    Program { ip: ip.into(), child, file }
 }
 
 impl Program {
