--- a/crates/lichenrudder/tests/common/play.rs
+++ b/crates/lichenrudder/tests/common/play.rs
@@ -170,7 +170,8 @@
     assert!(program.child.try_wait().unwrap().is_none_or(|s| s.success()), "{name}: the program crashed");
 }
 
-fn accept(listener: &TcpListener, place: &str) -> TcpStream {
+/// Whoever connects next, within the time that anything may take.
+pub fn accept(listener: &TcpListener, place: &str) -> TcpStream {
     listener.set_nonblocking(true).unwrap();
     let end = Instant::now() + PATIENCE;
     loop {
--- a/crates/lichenrudder/tests/discovery.rs
+++ b/crates/lichenrudder/tests/discovery.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 mod common;
 use common::late::{reset, Late};
+use common::play::accept;
 use common::{address, config, Program};
 use rstest::rstest;
 use std::io::{Read, Write};
@@ -31,7 +32,7 @@
 
     /// The next call, with what it asks read.
     fn call(&mut self) -> TcpStream {
-        let (mut stream, _) = self.listener.as_ref().unwrap().accept().unwrap();
+        let mut stream = accept(self.listener.as_ref().unwrap(), "discovery");
         let mut chunk = [0; 1024];
         let count = stream.read(&mut chunk).unwrap();
         assert!(chunk[..count].starts_with(b"GET /api/targets?watch=1&from=41 "));
--- a/crates/lichenrudder/tests/endings.rs
+++ b/crates/lichenrudder/tests/endings.rs
@@ -1,6 +1,7 @@
 //! The instant in which something ends while something is still owed, forced on real connections.
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 mod common;
+use common::play::accept;
 use common::{address, config, Program};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
@@ -84,7 +85,7 @@
     let mut program = Program::start(&patient(&ip), &ip);
     let mut client = program.connect(6379);
     client.write_all(&ask(1, 8000)).unwrap();
-    let (mut disk, _) = listener.accept().unwrap();
+    let mut disk = accept(&listener, "box");
     assert!(asked(&mut disk, &mut vec![], Duration::from_secs(2)).is_some());
     let term = Instant::now();
     program.signal("TERM");
@@ -145,7 +146,7 @@
     let program = Program::start(&config(&ip), &ip);
     let mut client = program.connect(6379);
     client.write_all(&ask(1, 400)).unwrap();
-    let (mut disk, _) = listener.accept().unwrap();
+    let mut disk = accept(&listener, "box");
     disk.read(&mut [0; 1024]).map(drop).unwrap();
     disk.write_all(b"*3\r\n$4000000\r\n").unwrap();
     let (begun, mut ended) = (Instant::now(), false);
@@ -226,7 +227,7 @@
     let mut client = program.connect(6379);
     rustix::net::sockopt::set_socket_recv_buffer_size(&client, 4096).unwrap();
     client.write_all(&ask(1, 4000)).unwrap();
-    let (mut disk, _) = listener.accept().unwrap();
+    let mut disk = accept(&listener, "box");
     disk.read(&mut [0; 1024]).map(drop).unwrap();
     let value = vec![b'v'; 60_000];
     let mut answer = b"*3\r\n".to_vec();
