--- a/crates/lichenrudder/tests/bounds.rs
+++ b/crates/lichenrudder/tests/bounds.rs
@@ -1,7 +1,7 @@
 //! What can grow has a bound, and beyond it the program refuses and goes on.
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 mod common;
-use common::{address, config, spawn, Program};
+use common::{address, ask, config, spawn, Program};
 use rstest::rstest;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
@@ -9,11 +9,7 @@
 use std::time::Duration;
 
 fn read(n: u64) -> Vec<u8> {
-    let list = "c=stock-read,t=premium,d=1200,volume=00000003b4d60021,units=1,shard=0,hosts=1";
-    let mut out = vec![];
-    let (piece, id) = (format!("{n:016x}"), format!("{n}"));
-    resp::write_command(&mut out, &[b"PREAD", piece.as_bytes(), id.as_bytes(), list.as_bytes()]);
-    out
+    ask(n, 1200)
 }
 
 fn line(stream: &mut TcpStream) -> String {
--- a/crates/lichenrudder/tests/common/mod.rs
+++ b/crates/lichenrudder/tests/common/mod.rs
@@ -27,6 +27,14 @@
     format!("127.{}.{}.{}", 64 + (pid >> 8) % 128, pid % 256, n % 250 + 1)
 }
 
+/// A read of that piece, under the same id, whose client waits so many milliseconds.
+pub fn ask(n: u64, wait: u32) -> Vec<u8> {
+    let list = format!("c=stock-read,t=premium,d={wait},volume=00000003b4d60021,units=1,shard=0,hosts=1");
+    let (mut out, piece, id) = (vec![], format!("{n:016x}"), format!("{n}"));
+    resp::write_command(&mut out, &[b"PREAD", piece.as_bytes(), id.as_bytes(), list.as_bytes()]);
+    out
+}
+
 pub fn config(ip: &str) -> String {
     include_str!("config.toml").replace("@IP@", ip)
 }
--- a/crates/lichenrudder/tests/descriptors.rs
+++ b/crates/lichenrudder/tests/descriptors.rs
@@ -3,7 +3,7 @@
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 mod common;
 use common::play::accept;
-use common::{address, config, spawn_limited, Program};
+use common::{address, ask, config, spawn_limited, Program};
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::time::{Duration, Instant};
@@ -27,15 +27,12 @@
 
 /// A request whose client is let in, and its box's end of it. One that stood too long makes room for others, and comes again.
 fn sent_on(program: &Program, boxes: &TcpListener) -> (TcpStream, TcpStream) {
-    let list = "c=stock-read,t=premium,d=1000,volume=00000003b4d60021,units=1,shard=0,hosts=1";
     boxes.set_nonblocking(true).unwrap();
     let until = Instant::now() + Duration::from_secs(15);
     for n in 1.. {
         assert!(Instant::now() < until, "no request reaches its box");
         let Some(mut client) = knock(program) else { continue };
-        let (mut ask, id) = (vec![], format!("{n}"));
-        resp::write_command(&mut ask, &[b"PREAD", b"00000000000000a1", id.as_bytes(), list.as_bytes()]);
-        if client.write_all(&ask).is_err() {
+        if client.write_all(&ask(n, 1000)).is_err() {
             continue;
         }
         let soon = Instant::now() + Duration::from_millis(500);
--- a/crates/lichenrudder/tests/endings.rs
+++ b/crates/lichenrudder/tests/endings.rs
@@ -2,20 +2,13 @@
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 mod common;
 use common::play::accept;
-use common::{address, config, Program};
+use common::{address, ask, config, Program};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
 const SERVED: &[u8] = b"*3\r\n$1\r\nA\r\n$-1\r\n$-1\r\n";
 
-fn ask(n: u64, wait: u32) -> Vec<u8> {
-    let list = format!("c=stock-read,t=premium,d={wait},volume=00000003b4d60021,units=1,shard=0,hosts=1");
-    let (mut out, piece, id) = (vec![], format!("{n:016x}"), format!("{n}"));
-    resp::write_command(&mut out, &[b"PREAD", piece.as_bytes(), id.as_bytes(), list.as_bytes()]);
-    out
-}
-
 /// Settings under which a request waits for long.
 fn patient(ip: &str) -> String {
     let text = config(ip).replace("OnTimeS = 0.25\nDeadlineS = 1.2", "OnTimeS = 6.0\nDeadlineS = 8.0");
--- a/crates/lichenrudder/tests/kill.rs
+++ b/crates/lichenrudder/tests/kill.rs
@@ -2,7 +2,7 @@
 //! connections, and the kill.
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 mod common;
-use common::{address, config, Program};
+use common::{address, ask, config, Program};
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::time::{Duration, Instant};
@@ -23,13 +23,10 @@
 /// One request on a connection of its own; it waits for its answer until the kill.
 fn one(ip: &str, n: u64, term: Instant) -> End {
     let Ok(mut client) = TcpStream::connect((ip, 6379)) else { return End::Closed };
-    let list = "c=stock-read,t=premium,d=700,volume=00000003b4d60021,units=1,shard=0,hosts=1";
-    let (mut ask, piece, id) = (vec![], format!("{n:016x}"), format!("{n}"));
-    resp::write_command(&mut ask, &[b"PREAD", piece.as_bytes(), id.as_bytes(), list.as_bytes()]);
     let left = (KILL + Duration::from_millis(50)).saturating_sub(term.elapsed());
     client.set_read_timeout(Some(left.max(Duration::from_millis(1)))).unwrap();
     let mut first = [0];
-    match client.write_all(&ask).and_then(|()| client.read(&mut first)) {
+    match client.write_all(&ask(n, 700)).and_then(|()| client.read(&mut first)) {
         Ok(1) => End::Answered,
         Ok(_) => End::Closed,
         Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => End::Lost,
