Let what a failed call tells, and the clock, set the pace of calls to discovery

It answers one after the other, 0.21 s each, and turns away at once what would wait over 2 s: the first eight are answered up to 1.8 s. At fault: pace.rs, whose pauses ended at 0.8 s, and which made a call beside one that only waited for its turn, after 1.7 s.

Change: a package backoff, free of I/O.

--- a/crates/lichenrudder/src/list.rs
+++ b/crates/lichenrudder/src/list.rs
@@ -1,15 +1,15 @@
-//! The list's actor: one watch at discovery, resumed from the last version. The pace of its calls is `pace.rs`'s.
+//! The list's actor: one watch at discovery, resumed from the last version. When it calls is `backoff`'s to say.
 use crate::boxes::Boxes;
 use crate::context::Context;
 use crate::mail::{Ask, Mail, Module};
-use crate::pace::{Backoff, BESIDE, CALLS, LIVENESS};
 use crate::watch::{fault, Watch};
 use crate::wire::Reason;
 use async_channel::Receiver;
 use async_io::Timer;
+use backoff::{Caller, Failure, Law, LIVENESS};
+use config::Config;
 use futures_lite::{future, StreamExt};
 use oxbowhill::interface::{ListMode, ListNews, Micros};
-use std::collections::VecDeque;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -21,29 +21,38 @@
 /// A call that has no answer yet.
 type Call = Pin<Box<dyn Future<Output = Result<Box<Watch>, Reason>>>>;
 
+/// The law for one of all fronts.
+fn law(config: &Config) -> Law {
+    Law::fleet(config.settings.hosts)
+}
+
 /// Runs until the program ends, which closes the mailbox.
 pub async fn run(context: Rc<Context>, module: Module, boxes: Rc<Boxes>, asked: Receiver<Ask>) {
     let mut asked = Box::pin(asked);
     let config = context.config();
-    let backoff = Backoff::new(config.seed);
-    let mut list = List { context, module, boxes, version: config.known.generation, backoff };
+    let now = context.clock.now().0;
+    let mut caller = Caller::new(law(&config), config.seed, now);
     // Where lists are pushed, what the agent has counts from the first moment on. Else all fronts may start at once, and
     // discovery is one service for all.
-    let mut pause = match config.settings.list_mode {
-        ListMode::Push => 0,
-        ListMode::Ask => list.backoff.pause(),
-    };
+    if config.settings.list_mode == ListMode::Ask {
+        caller.spread(now);
+    }
+    let mut list = List { context, module, boxes, version: config.known.generation, caller };
     loop {
         // Read each time: a reload may have given another address, which is asked from the version that is held.
-        let reason = match list.context.config().discovery {
-            Some(discovery) => list.watch(discovery, pause, &mut asked).await,
+        let config = list.context.config();
+        list.caller.obey(law(&config));
+        let reason = match config.discovery {
+            Some(discovery) => list.watch(discovery, &mut asked).await,
             None => asked.next().await.map_or(Reason::Stopped, |_| Reason::Replaced),
         };
-        pause = match reason {
+        let now = list.context.clock.now().0;
+        match reason {
             Reason::Stopped => return,
-            Reason::Replaced => 0,
-            _ => list.backoff.pause(),
-        };
+            Reason::Replaced => list.caller.moved(now),
+            Reason::Timeout => list.caller.ended(now, Failure::Silent),
+            _ => list.caller.ended(now, Failure::Ended),
+        }
     }
 }
 
@@ -53,23 +62,22 @@
     module: Module,
     boxes: Rc<Boxes>,
     version: i64,
-    backoff: Backoff,
+    caller: Caller,
 }
 
 enum Woken {
     Asked(Option<Ask>),
-    Answered(Result<Box<Watch>, Reason>),
+    Answered(u64, Result<Box<Watch>, Reason>),
     Moved(Result<(), Reason>),
     Due,
 }
 
-/// Whichever call has ended or is up; none ever where there is no call.
-async fn answered(calls: &mut VecDeque<Call>) -> Result<Box<Watch>, Reason> {
+/// Whichever call has ended or is up, by its number; none ever where there is no call.
+async fn answered(calls: &mut Vec<(u64, Call)>) -> (u64, Result<Box<Watch>, Reason>) {
     future::poll_fn(|cx| {
         for n in 0..calls.len() {
-            if let Poll::Ready(answer) = calls[n].as_mut().poll(cx) {
-                drop(calls.remove(n));
-                return Poll::Ready(answer);
+            if let Poll::Ready(answer) = calls[n].1.as_mut().poll(cx) {
+                return Poll::Ready((calls.remove(n).0, answer));
             }
         }
         Poll::Pending
@@ -77,6 +85,14 @@
     .await
 }
 
+/// What a call that failed tells of discovery. A reset may be one that waited too long, too.
+fn failure(reason: Reason) -> Failure {
+    match reason {
+        Reason::ConnectFailed => Failure::Down,
+        _ => Failure::Overbooked,
+    }
+}
+
 /// Waits for a letter that ends what is done; the module's, that asks for a watch, is answered by what is done already.
 async fn letter(asked: &mut Asked) -> Woken {
     loop {
@@ -93,46 +109,45 @@
 
 impl List {
     /// Calls until one is up, and follows that watch until it ends; tells why.
-    async fn watch(&mut self, discovery: SocketAddr, pause: i64, asked: &mut Asked) -> Reason {
-        match self.call(discovery, pause, asked).await {
+    async fn watch(&mut self, discovery: SocketAddr, asked: &mut Asked) -> Reason {
+        match self.call(discovery, asked).await {
             Err(reason) => reason,
             Ok(mut watch) => {
-                self.backoff.answered();
+                self.caller.up(self.context.clock.now().0);
                 watch.wire.reason = self.follow(&mut watch, asked).await;
                 watch.wire.reason
             }
         }
     }
 
-    async fn call(
-        &mut self,
-        discovery: SocketAddr,
-        pause: i64,
-        asked: &mut Asked,
-    ) -> Result<Box<Watch>, Reason> {
+    async fn call(&mut self, discovery: SocketAddr, asked: &mut Asked) -> Result<Box<Watch>, Reason> {
         let context = self.context.clone();
-        let mut due = Micros(context.clock.now().0 + pause);
-        let mut calls: VecDeque<Call> = VecDeque::new();
+        let mut calls: Vec<(u64, Call)> = Vec::new();
         loop {
+            let due = self.caller.due().map(Micros);
             let next = async {
-                Timer::at(context.clock.instant(due)).await;
+                match due {
+                    Some(due) => drop(Timer::at(context.clock.instant(due)).await),
+                    None => future::pending().await,
+                }
                 Woken::Due
             };
-            let answer = async { Woken::Answered(answered(&mut calls).await) };
+            let answer = async {
+                let (number, answer) = answered(&mut calls).await;
+                Woken::Answered(number, answer)
+            };
             match future::or(future::or(letter(asked), answer), next).await {
-                Woken::Answered(Ok(watch)) => return Ok(watch),
-                Woken::Answered(Err(_)) => {
-                    due = due.min(Micros(context.clock.now().0 + self.backoff.pause()));
+                Woken::Answered(_, Ok(watch)) => return Ok(watch),
+                Woken::Answered(number, Err(reason)) => {
+                    self.caller.failed(context.clock.now().0, number, failure(reason));
                 }
                 // Guards against a watch at an old address, which tells nothing any more.
                 Woken::Asked(letter) => return Err(ends(letter)),
                 Woken::Moved(_) => {}
                 Woken::Due => {
-                    if calls.len() >= CALLS {
-                        calls.pop_front();
-                    }
-                    calls.push_back(Box::pin(Watch::call(discovery, self.version)));
-                    due = Micros(context.clock.now().0 + BESIDE);
+                    let call = self.caller.call(context.clock.now().0);
+                    calls.retain(|(number, _)| Some(*number) != call.instead_of);
+                    calls.push((call.number, Box::pin(Watch::call(discovery, self.version))));
                 }
             }
         }
@@ -165,7 +180,7 @@
             };
             match future::or(future::or(letter(asked), moved), silent).await {
                 Woken::Moved(Ok(())) => came = true,
-                Woken::Answered(_) => {}
+                Woken::Answered(..) => {}
                 Woken::Moved(Err(reason)) => return reason,
                 Woken::Asked(letter) => return ends(letter),
                 Woken::Due => return Reason::Timeout,
--- a/crates/lichenrudder/src/main.rs
+++ b/crates/lichenrudder/src/main.rs
@@ -28,7 +28,6 @@
 mod objects;
 mod operators;
 mod orders;
-mod pace;
 mod peer;
 mod platform;
 mod record;
