Ask a failing box ever more rarely while the list is not heard, and at once when it is

The list's actor had not told the module that its watch had broken, either.

Change: while calls for the list fail, the longest wait grows with the time since; once the list is heard, what it still names is tried at once. The list's actor tells of a watch that ended. Found beside it: with no AskWithinS and a list that is asked for, the module's alarm came due in the same instant without end; it counts 4 s at least now.

--- a/crates/lichenrudder/src/list.rs
+++ b/crates/lichenrudder/src/list.rs
@@ -53,6 +53,8 @@
             Reason::Timeout => list.caller.ended(now, Failure::Silent),
             _ => list.caller.ended(now, Failure::Ended),
         }
+        // What leaves from now on is not heard of: the module is to take care.
+        let _ = list.module.send(Mail::News(ListNews::Failed)).await;
     }
 }
 
--- a/src/decide/attempts.rs
+++ b/src/decide/attempts.rs
@@ -38,8 +38,7 @@
         if held.attempts == 0 {
             session.limit -= units;
         }
-        let node = &mut self.nodes[n];
-        let background = held.background;
+        let (node, background) = (&mut self.nodes[n], held.background);
         if session.reserve < units || background {
             let gap = node.latency.unwrap_or(self.shortest_aim / 4.0) / node.window;
             // Where a window is narrower than its first, many hosts with nothing but background would still
@@ -140,10 +139,10 @@
         }
         node.window = node.window.clamp((WINDOW_FLOOR / self.crowd).min(1.0), WINDOW_CEILING);
         if failed {
-            // Whatever the cause: one at a time, further and further apart, until it answers in time again.
+            // Whatever the cause: one at a time, further and further apart, endlessly while no list comes.
             // Dozens of hosts with one request each are a full queue, so the wait grows with their number.
             let wait = (took * self.crowd).max(self.set.connect_timeout.0 as f64)
-                * 2f64.powi(node.failures.min(5) - 2);
+                * 2f64.powi(node.failures.min(5 + self.list_failures) - 2);
             node.failures += 1;
             node.not_before = later(now, wait * self.rng.0.random_range(0.5..1.0));
         }
--- a/src/decide/list.rs
+++ b/src/decide/list.rs
@@ -1,8 +1,8 @@
 //! The node list: how it is asked for, and what its news change.
 use super::*;
 
-/// List calls back off from this share of the time allowed without asking, doubling up to half of it.
-const LIST_BACKOFF: f64 = 1.0 / 16.0;
+/// List calls back off by such a share of the time allowed without asking (4 s at least), doubling thrice.
+const LIST_BACKOFF: std::ops::Range<f64> = 1.0 / 32.0..1.0 / 16.0;
 /// First window: "a few", as few as they come, and no more than twice this host's part of the ceiling.
 const WINDOW_START: f64 = 2.0;
 
@@ -21,8 +21,8 @@
     /// Asks for the watch after a jittered wait that doubles with each failure.
     pub(super) fn watch_later(&mut self) {
         self.alarms.retain(|(_, a)| *a != Alarm::List);
-        let most = self.set.ask_within.0 as f64 * LIST_BACKOFF * 2f64.powi(self.list_failures.clamp(0, 3));
-        let at = later(self.now, most * self.rng.0.random_range(0.5..1.0));
+        let share = 2f64.powi(self.list_failures.min(3)) * self.rng.0.random_range(LIST_BACKOFF);
+        let at = later(self.now, share * self.set.ask_within.0.max(4_000_000) as f64);
         self.alarms.insert((at, Alarm::List));
     }
 
@@ -32,8 +32,9 @@
             return self.watch_later();
         };
         if !cached {
-            self.list_failures = 0;
             self.alarms.retain(|(_, a)| *a != Alarm::List);
+            let again = if std::mem::take(&mut self.list_failures) > 0 { self.now } else { Micros(i64::MAX) };
+            self.nodes.iter_mut().for_each(|n| n.not_before = n.not_before.min(again));
         }
         if whole {
             let named: BTreeSet<&NodeId> = entries.iter().map(|e| &e.node).collect();
