--- a/src/decide.rs
+++ b/src/decide.rs
@@ -53,6 +53,8 @@
 
 #[derive(Default)]
 struct Shard {
+    /// The places of its nodes, and of the one that is sent to.
+    nodes: BTreeSet<usize>,
     node: Option<usize>,
     queues: BTreeMap<(bool, usize), Queue>,
     turn: (bool, usize),
@@ -118,6 +120,8 @@
     nodes: Vec<Node>,
     /// Places in `sessions` and `nodes` whose volume or node is forgotten, and when to look for more volumes.
     spare: (Vec<usize>, Vec<usize>),
+    /// Nodes that have left and are not forgotten yet.
+    left: BTreeSet<usize>,
     sweep_at: usize,
     shards: BTreeMap<ShardId, Shard>,
     requests: BTreeMap<RequestId, Held>,
--- a/src/decide/attempts.rs
+++ b/src/decide/attempts.rs
@@ -18,8 +18,7 @@
         let Some(until) = self.requests.get(&id).map(|h| self.repeatable_until(h)) else { return };
         let Some(held) = self.requests.get_mut(&id) else { return };
         held.place = Place::Out;
-        let mut allowed = until > now;
-        let aim = self.set.classes[held.request.class].aim;
+        let (mut allowed, aim) = (until > now, self.set.classes[held.request.class].aim);
         let Some(n) = self.shards.get(&held.shard).and_then(|s| s.node) else { return };
         if let Some(budget) = self.set.retry_budget.as_ref().filter(|_| held.attempts > 0) {
             forget(&mut self.taken, Micros(now.0 - budget.window.0));
@@ -33,8 +32,7 @@
         }
         let units = held.request.units;
         let session = &mut self.sessions[held.session];
-        session.operations += 1;
-        session.payload += units;
+        (session.operations, session.payload) = (session.operations + 1, session.payload + units);
         if held.attempts == 0 {
             session.limit -= units;
         }
@@ -91,10 +89,8 @@
         held.place = Place::Blocked;
         let took = outcome.took.0.max(1) as f64;
         let latency = node.latency.unwrap_or(took);
-        node.heard = now;
-        if matches!(outcome.ending, Ending::Ok | Ending::Error) {
-            node.answered = node.answered.max(sent);
-        }
+        let answers = matches!(outcome.ending, Ending::Ok | Ending::Error);
+        (node.heard, node.answered) = (now, if answers { node.answered.max(sent) } else { node.answered });
         let mut failed = false;
         match outcome.ending {
             Ending::Ok => {
@@ -153,8 +149,7 @@
         if let Some(line) = key.and_then(|k| self.keys.get_mut(k)) {
             line.rests_until = line.rests_until.max(later(now, self.set.order_rest.0 as f64));
         }
-        let shard = self.nodes[n].entry.shard;
-        let spent = held.attempts >= self.set.max_attempts;
+        let (shard, spent) = (self.nodes[n].entry.shard, held.attempts >= self.set.max_attempts);
         if !over && held.request.shard.is_none() && held.ran.is_none() {
             // A new object that nobody has may still go anywhere.
             let lane = (held.background, held.session);
--- a/src/decide/list.rs
+++ b/src/decide/list.rs
@@ -31,77 +31,88 @@
         let (ListNews::Cached(entries) | ListNews::Full(entries) | ListNews::Delta(entries)) = news else {
             return self.watch_later();
         };
+        // Only shards that the news touch are looked at: the work is by what has changed.
+        let mut touched = BTreeSet::new();
         if !cached {
             self.alarms.retain(|(_, a)| *a != Alarm::List);
-            let again = if std::mem::take(&mut self.list_failures) > 0 { self.now } else { Micros(i64::MAX) };
-            self.nodes.iter_mut().for_each(|n| n.not_before = n.not_before.min(again));
+            if std::mem::take(&mut self.list_failures) > 0 {
+                self.nodes.iter_mut().for_each(|n| n.not_before = n.not_before.min(self.now));
+            }
         }
         if whole {
+            touched.extend(self.shards.keys());
             let named: BTreeSet<&NodeId> = entries.iter().map(|e| &e.node).collect();
-            for node in self.nodes.iter_mut().filter(|n| !named.contains(&n.entry.node)) {
-                node.entry.state = NodeState::Gone;
+            let left = self.names.iter().filter(|(name, _)| !named.contains(name)).map(|(_, n)| *n);
+            for n in left.collect::<Vec<_>>() {
+                let gone = NodeEntry { state: NodeState::Gone, ..self.nodes[n].entry.clone() };
+                self.list(n, gone, &mut touched);
             }
         }
         let (now, warm_up) = (self.now, self.set.cold.warm_up.0 as f64);
         for e in entries {
             // A node that this host has not held before may be cold, whatever the list leaves out.
             let fresh = e.started.or((self.listed && e.state == NodeState::Ready).then_some(self.now));
-            let usual = self.shards.get(&e.shard).filter(|_| warm_up > 0.0).map_or(0.0, |s| {
-                s.served.at(fresh.unwrap_or(self.now), warm_up) / self.remembered().max(1.0) * 1e6
-            });
+            let served = self.shards.get(&e.shard).map(|s| s.served.at(fresh.unwrap_or(now), warm_up));
+            let usual = served.filter(|_| warm_up > 0.0).unwrap_or(0.0) / self.remembered().max(1.0) * 1e6;
             let known = self.names.get(&e.node).copied();
             let n = known.or_else(|| self.spare.1.pop()).unwrap_or(self.nodes.len());
             self.nodes.resize_with(self.nodes.len().max(n + 1), Node::default);
             let node = &mut self.nodes[n];
             if known.is_none() {
                 self.names.insert(e.node.clone(), n);
-                let window = WINDOW_START.min(2.0 / self.crowd);
-                let (first, best) = (window.min(1.0), f64::INFINITY);
-                *node = Node { window, first, best, heard: self.now, ..Node::default() };
+                let (window, best, heard) = (WINDOW_START.min(2.0 / self.crowd), f64::INFINITY, self.now);
+                *node = Node { window, first: window.min(1.0), best, heard, ..Node::default() };
             }
             if known.is_none() || node.entry.state != NodeState::Ready || e.started > node.started {
                 // Guards a cold node that drains and returns: what it was sent is not forgotten.
                 if known.is_none() || fresh.is_some_and(|at| Some(at) != node.started) {
-                    (node.sends, node.come) = (VecDeque::new(), (0.0, self.now));
-                    node.phase = self.rng.0.random();
+                    (node.sends, node.come, node.phase) = (VecDeque::new(), (0.0, now), self.rng.0.random());
                 }
                 node.started = fresh.or(node.started);
                 (node.usual, node.measured) = (usual, usual > 0.0);
                 (node.failures, node.not_before) = (0, self.now);
             }
-            node.entry = e;
+            self.list(n, e, &mut touched);
         }
         self.listed = true;
-        self.heard = (0.0, 0.0);
         self.forget_nodes();
-        self.shards.values_mut().for_each(|s| s.node = None);
-        for (n, node) in self.nodes.iter().enumerate().filter(|(_, n)| n.entry.state == NodeState::Ready) {
-            self.heard = node.latency.map_or(self.heard, |l| (self.heard.0 + l, self.heard.1 + 1.0));
-            let shard = self.shards.entry(node.entry.shard).or_default();
-            if shard.node.is_none_or(|other| self.nodes[other].started <= node.started) {
-                shard.node = Some(n);
-            }
+        for id in &touched {
+            let (nodes, place) = (&self.nodes, self.shards.entry(*id).or_default());
+            place.nodes.retain(|n| nodes[*n].entry.shard == *id && nodes[*n].entry.state != NodeState::Gone);
+            let ready = place.nodes.iter().copied().filter(|n| nodes[*n].entry.state == NodeState::Ready);
+            place.node = ready.max_by_key(|n| nodes[*n].started);
         }
-        self.shards.retain(|_, s| {
-            s.node.is_some() || !s.queues.is_empty() || (s.served.0 > 0.0 && span(s.served.1, now) < warm_up)
-        });
-        self.pump_all(actions);
+        if touched.iter().any(|id| self.shards[id].node.is_none()) {
+            let served = |s: &Shard| s.served.0 > 0.0 && span(s.served.1, now) < warm_up;
+            self.shards.retain(|_, s| s.node.is_some() || !s.queues.is_empty() || served(s));
+        }
+        touched.into_iter().for_each(|id| self.pump(id, actions));
     }
 
-    /// Forgets nodes that have left, once nothing is out there and the budget of a cold node holds nothing
-    /// any more. One that returns is new, and counts as cold. Guards memory where every node is replaced.
+    /// Puts a node's entry in the place of the one before.
+    fn list(&mut self, n: usize, entry: NodeEntry, touched: &mut BTreeSet<ShardId>) {
+        let node = &mut self.nodes[n];
+        touched.extend([node.entry.shard, entry.shard]);
+        self.shards.entry(entry.shard).or_default().nodes.insert(n);
+        self.left.extend((entry.state == NodeState::Gone).then_some(n));
+        let by = f64::from(entry.state == NodeState::Ready) - f64::from(node.entry.state == NodeState::Ready);
+        self.heard = node.latency.map_or(self.heard, |l| (self.heard.0 + by * l, self.heard.1 + by));
+        node.entry = entry;
+    }
+
+    /// Forgets nodes that have left, once nothing is out there and no budget holds anything. Guards memory.
     fn forget_nodes(&mut self) {
-        let (now, window, nodes) = (self.now, self.set.cold.window.0 as f64, &mut self.nodes);
-        self.names.retain(|_, n| {
-            let node = &mut nodes[*n];
-            let spent = !node.sends.is_empty() && span(node.come.1, now) <= window;
-            if node.entry.state != NodeState::Gone || !node.out.is_empty() || spent {
-                return true;
+        for n in std::mem::take(&mut self.left) {
+            let node = &mut self.nodes[n];
+            let spent =
+                !node.sends.is_empty() && span(node.come.1, self.now) <= self.set.cold.window.0 as f64;
+            if node.entry.state == NodeState::Gone && (!node.out.is_empty() || spent) {
+                self.left.insert(n);
+            } else if node.entry.state == NodeState::Gone && self.names.remove(&node.entry.node).is_some() {
+                *node = Node::default();
+                node.entry.state = NodeState::Gone;
+                self.spare.1.push(n);
             }
-            *node = Node::default();
-            node.entry.state = NodeState::Gone;
-            self.spare.1.push(*n);
-            false
-        });
+        }
     }
 }
--- a/src/decide/requests.rs
+++ b/src/decide/requests.rs
@@ -35,12 +35,10 @@
         let patience = Micros(now.0 + request.grace.0);
         let near = ANSWER_TICKS * self.set.tick.0;
         let same = (Micros(patience.0 - near), 0, None, now)..(Micros(patience.0 + near), 0, None, now);
-        let first =
-            self.unserved.range(same).find(|(_, s, k, _)| *s == session && *k == request.key).cloned();
+        let first = self.unserved.range(same).find(|u| u.1 == session && u.2 == request.key).cloned();
         self.asked(session, shard, request.units, first.is_none());
         let came = first.filter(|f| self.unserved.remove(f)).map_or(now, |(_, _, _, came)| came);
-        let due = Micros(came.0 + aim.0).min(patience);
-        let expires = Micros(patience.0 - near);
+        let (due, expires) = (Micros(came.0 + aim.0).min(patience), Micros(patience.0 - near));
         let wait = self.expected(shard, lane, request.units);
         let key = request.key.clone().filter(|_| in_order);
         if let Some(wait) = wait.filter(|w| *w > span(now, due)) {
@@ -49,8 +47,8 @@
             return actions.push(Action::Refuse { id, wait: hint });
         }
         self.sessions[session].requests += 1;
-        let background = lane.0;
-        let held = Held { request, background, session, shard, came, due, expires, ..Held::default() };
+        let held =
+            Held { request, background: lane.0, session, shard, came, due, expires, ..Held::default() };
         self.requests.insert(id, held);
         if !self.hold(id) {
             return self.conclude(id, actions);
@@ -104,9 +102,8 @@
     pub(super) fn conclude(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(held) = self.requests.get(&id) else { return };
         let class = &self.set.classes[held.request.class];
-        let (repeats, aim, units) = (class.repeats, class.aim, held.request.units);
-        let (shard, lane) = (held.shard, (held.background, held.session));
-        let wait = self.expected(shard, lane, units);
+        let (repeats, aim) = (class.repeats, class.aim);
+        let wait = self.expected(held.shard, (held.background, held.session), held.request.units);
         let Some(held) = self.requests.get(&id) else { return };
         let patience = Micros(held.expires.0 + ANSWER_TICKS * self.set.tick.0);
         self.unserved = self.unserved.split_off(&(self.now, 0, None, Micros(0)));
--- a/src/decide/session.rs
+++ b/src/decide/session.rs
@@ -36,11 +36,10 @@
         let depth = if rate > 0.0 { rate + set.most_units } else { 0.0 };
         self.reserve = (self.reserve + rate * span(self.reserve_at, now) / 1e6).min(depth);
         self.claim = (self.claim + rate * span(self.reserve_at, now) / 1e6).min(depth);
-        self.reserve_at = now;
         let part = plan.limit_rate / self.hosts * span(self.limit_at, now) / 1e6;
         let burst = plan.limit_burst / self.hosts;
         self.limit = (self.limit + part).min(burst);
-        self.limit_at = now;
+        (self.reserve_at, self.limit_at) = (now, now);
         self.reserve >= depth && (plan.limit_rate <= 0.0 || self.limit >= burst)
     }
 
--- a/src/decide/turns.rs
+++ b/src/decide/turns.rs
@@ -3,8 +3,8 @@
 
 impl Scheduler {
     pub(super) fn pump_all(&mut self, actions: &mut Vec<Action>) {
-        let shards: Vec<ShardId> = self.shards.keys().copied().collect();
-        shards.into_iter().for_each(|s| self.pump(s, actions));
+        let waits = self.shards.iter().filter(|(_, s)| !s.queues.is_empty()).map(|(id, _)| *id);
+        waits.collect::<Vec<_>>().into_iter().for_each(|s| self.pump(s, actions));
     }
 
     pub(super) fn enqueue(&mut self, id: RequestId, front: bool, actions: &mut Vec<Action>) {
@@ -13,10 +13,9 @@
         let (shard, lane) = (held.shard, (held.background, held.session));
         let queue = self.shards.entry(shard).or_default().queues.entry(lane).or_default();
         queue.units += held.request.units;
-        if front {
-            queue.held.push_front(id);
-        } else {
-            queue.held.push_back(id);
+        match front {
+            true => queue.held.push_front(id),
+            false => queue.held.push_back(id),
         }
         self.pump(shard, actions);
     }
@@ -102,8 +101,7 @@
         for (lane, queue) in after.chain(shard.queues.range(..shard.turn)) {
             let Some(first) = queue.held.front() else { continue };
             let Some(held) = self.requests.get(first) else { continue };
-            let units = held.request.units;
-            let session = &mut self.sessions[lane.1];
+            let (units, session) = (held.request.units, &mut self.sessions[lane.1]);
             session.fill(&self.set, now);
             let mut at = session.ready_at(&self.set, node, units, lane.0, held.attempts == 0);
             if held.due < later(at, latency) {
@@ -119,8 +117,7 @@
             }
             let paid = session.payload + units;
             if session.operations < OPERATION_CREDITS && paid <= POOL_REQUESTS * self.set.most_units {
-                let tier = 2 * usize::from(session.reserve < units) + usize::from(lane.0);
-                tiers[tier].push(*lane);
+                tiers[2 * usize::from(session.reserve < units) + usize::from(lane.0)].push(*lane);
             }
         }
         let tier = tiers.iter().find(|t| !t.is_empty()).ok_or(retry_at)?;
@@ -142,8 +139,7 @@
         let queue = shard.queues.entry(lane).or_default();
         let id = queue.held.pop_front().ok_or(None)?;
         let units = self.requests.get(&id).map_or(0.0, |h| h.request.units);
-        queue.units -= units;
-        queue.deficit = (queue.deficit - units).max(0.0);
+        (queue.units, queue.deficit) = (queue.units - units, (queue.deficit - units).max(0.0));
         Ok((id, true))
     }
 }
--- a/src/decide/waits.rs
+++ b/src/decide/waits.rs
@@ -16,8 +16,7 @@
         self.sessions[session].fill(&self.set, self.now);
         let place = self.shards.get(&to)?;
         let node = &self.nodes[place.node?];
-        let latency = self.latency_at(to).max(1.0);
-        let reserved = self.sessions[session].reserve;
+        let (latency, reserved) = (self.latency_at(to).max(1.0), self.sessions[session].reserve);
         let window = if reserved >= units { node.window.max(1.0) } else { node.window };
         let rate = window * self.set.mean_units / latency;
         let weight = |s: usize| self.set.plans[self.sessions[s].plan].weight;
