--- /dev/null
+++ b/crates/lichenrudder/tests/callers/bench.rs
@@ -0,0 +1,96 @@
+//! Five real fronts and hollow callers beside them before one discovery that takes calls in turn.
+use rig::discovery::{Outcome, Refusal, Turns};
+use rig::hollow::Hollow;
+use rig::rig::Rig;
+use rig::setup::{Setup, BASE};
+use std::collections::BTreeMap;
+use std::path::Path;
+use std::time::Duration;
+
+pub const FRONTS: usize = 5;
+/// What discovery needs for the whole fleet, one after the other: the span measured on the day that was lost.
+pub const ALL: f64 = 6.8;
+const WAIT: Duration = Duration::from_secs(2);
+
+/// Times in seconds of the rig's clock.
+pub type Time = f64;
+
+pub struct Bench {
+    pub rig: Rig,
+    pub hollow: Hollow,
+    pub fleet: usize,
+    refusal: Refusal,
+}
+
+impl Bench {
+    pub fn new(fleet: usize, refusal: Refusal) -> Bench {
+        let mut setup = Setup::usual(Path::new(env!("CARGO_BIN_EXE_lichenrudder")), fleet as u64);
+        (setup.fronts, setup.boxes, setup.cells) = (FRONTS, 2, 1);
+        setup.text = BASE.replace("FleetSize = @FRONTS@", "FleetSize = @FLEET@");
+        assert!(setup.text.contains("@FLEET@"));
+        setup.more.insert("FLEET".into(), fleet.to_string());
+        let rig = Rig::new(setup).unwrap();
+        let hollow = rig.hollow((fleet - FRONTS) as u64, fleet as u32).unwrap();
+        Bench { rig, hollow, fleet, refusal }
+    }
+
+    /// Calls are taken in turn from now on, and so many may wait.
+    pub fn take_turns(&self, callers: usize) {
+        let answer = Duration::from_secs_f64(ALL / self.fleet as f64);
+        let turns = Turns { answer, refuse: answer / 8, wait: WAIT, refusal: self.refusal, callers };
+        self.rig.discovery.take_turns(Some(turns));
+    }
+
+    pub fn now(&self) -> Time {
+        self.rig.clock.now().as_secs_f64()
+    }
+
+    /// Since when each has its list, the real fronts first; these that have lost theirs have it again once a call since
+    /// then was answered.
+    pub fn listed(&self, lost: impl Fn(usize) -> Option<Time>) -> Vec<Option<Time>> {
+        let calls = self.rig.discovery.calls();
+        let real = (0..FRONTS).map(|n| {
+            let since = lost(n).unwrap_or(0.0);
+            let answered = calls.iter().rev().filter(|c| c.front == Setup::front(n));
+            let times = answered.filter_map(|c| c.outcome.filter(|(_, o)| *o == Outcome::Answered));
+            times.map(|(at, _)| at.as_secs_f64()).find(|at| *at >= since)
+        });
+        let hollow = self.hollow.listed().into_iter().map(|at| at.map(|at| at.as_secs_f64()));
+        real.chain(hollow).collect()
+    }
+
+    /// All calls of all callers, those too that found nobody.
+    pub fn calls(&self) -> Vec<Time> {
+        let real = self.rig.discovery.calls().into_iter().filter(|c| c.front != "hollow").map(|c| c.at);
+        let refused = self.rig.fronts.iter().flat_map(|f| f.lines());
+        let refused =
+            refused.filter(|(_, l)| l.contains("kind=discovery") && l.contains("reason=connect-failed"));
+        let all = self.hollow.calls().into_iter().chain(real).chain(refused.map(|(at, _)| at));
+        let mut all: Vec<Time> = all.map(|at| at.as_secs_f64()).collect();
+        all.sort_by(f64::total_cmp);
+        all
+    }
+
+    /// How long the machine stood still since then.
+    pub fn hiccups(&self, since: Time) -> Time {
+        let spans = self.rig.hiccups().into_iter().filter(|(_, to)| to.as_secs_f64() >= since);
+        spans.map(|(from, to)| (to - from).as_secs_f64()).fold(0.0, |sum, span| sum + span)
+    }
+
+    /// How many calls since then came to which end.
+    pub fn outcomes(&self, since: Time) -> BTreeMap<String, usize> {
+        let mut counts = BTreeMap::new();
+        for call in self.rig.discovery.calls().iter().filter(|c| c.at.as_secs_f64() >= since) {
+            let outcome = call.outcome.map_or("Waits".into(), |(_, outcome)| format!("{outcome:?}"));
+            *counts.entry(outcome).or_insert(0) += 1;
+        }
+        counts
+    }
+}
+
+/// The most calls in any second between two times.
+pub fn most(calls: &[Time], from: Time, to: Time) -> usize {
+    let within: Vec<Time> = calls.iter().copied().filter(|at| (from..to).contains(at)).collect();
+    let second = |(n, at): (usize, &Time)| within[n..].iter().take_while(|t| **t < at + 1.0).count();
+    within.iter().enumerate().map(second).max().unwrap_or(0)
+}
--- a/crates/rig/src/engine.rs
+++ b/crates/rig/src/engine.rs
@@ -48,7 +48,7 @@
     }
 }
 
-/// A time in which this machine let a thread wait that had something to do.
+/// A time in which this machine let a thread wait that had something to do, or the rig's own thread was behind with its work.
 pub type Hiccup = (Duration, Duration);
 
 /// How often the sampler wakes, and from what lateness on it is a hiccup.
@@ -93,6 +93,18 @@
             }
         })?;
         let sampler = Some(sampler);
+        // The thread that carries all may be late though the machine is not: it has too much to do.
+        let (found, at) = (hiccups.clone(), clock.clone());
+        let late = async move {
+            loop {
+                let before = at.now();
+                Timer::after(SAMPLE).await;
+                if at.now() - before > LATE {
+                    lock(&found).push((before, at.now()));
+                }
+            }
+        };
+        executor.spawn(late).detach();
         Ok(Engine {
             _site: site.clone(),
             clock,
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod engine;
 pub mod files;
 pub mod fronts;
+pub mod hollow;
 pub mod links;
 pub mod operator;
 mod outages;
--- a/crates/rig/src/rig.rs
+++ b/crates/rig/src/rig.rs
@@ -2,16 +2,18 @@
 use crate::boxes::store::Shelf;
 use crate::boxes::{target_name, DiskBox, Make, Speaks};
 use crate::clients::{End, History, Request};
-use crate::discovery::{Discovery, Lifecycle, Listed};
-use crate::engine::{Clock, Engine};
+use crate::discovery::{Discovery, Lifecycle, Listed, Manner};
+use crate::engine::{Clock, Engine, Hiccup};
 use crate::files::fill;
 use crate::fronts::Front;
+use crate::hollow::Hollow;
 use crate::links::Links;
 use crate::ports::Site;
 use crate::schedule::Parties;
 use crate::setup::{discovery_door, door, own_address, view, Setup, BOXES, TCP, UDP};
 use crate::story::Story;
 use crate::verdict::Evidence;
+use backoff::Law;
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
@@ -115,6 +117,30 @@
         Ok(())
     }
 
+    /// Hollow callers that call discovery beside the fronts, of a fleet of so many; they have a door of their own.
+    pub fn hollow(&self, count: u64, fleet: u32) -> io::Result<Hollow> {
+        let door = discovery_door(&self.site, self.setup.fronts);
+        self.discovery.door("hollow", door)?;
+        let (clock, spawner) = (self.clock.clone(), self.engine.spawner());
+        Hollow::new(count, door, Law::fleet(fleet), self.setup.seed, clock, spawner)
+    }
+
+    /// Discovery is gone, for fronts too: nobody listens, and what is open is reset; or it is back.
+    pub fn discovery_gone(&self, gone: bool) {
+        let fronts = self.setup.all_fronts();
+        fronts.iter().for_each(|f| self.links.refuse(f, "discovery", gone));
+        self.discovery.close(gone);
+        self.discovery.act(if gone { Manner::Down } else { Manner::Well });
+        if gone {
+            fronts.iter().for_each(|f| self.links.reset(f, "discovery"));
+        }
+    }
+
+    /// When this machine stood still so far.
+    pub fn hiccups(&self) -> Vec<Hiccup> {
+        self.engine.hiccups()
+    }
+
     /// The front of that name.
     pub fn front(&mut self, name: &str) -> io::Result<&mut Front> {
         let unknown = || io::Error::new(io::ErrorKind::NotFound, format!("no front {name}"));
