--- a/crates/accord/src/apply.rs
+++ b/crates/accord/src/apply.rs
@@ -1,7 +1,7 @@
 //! What the log and the front's own side say is done here.
 use crate::core::Core;
 use crate::frames::Frame;
-use crate::ledger::{Ledger, What};
+use crate::ledger::{Cataloged, Ledger, What};
 use crate::mail::ToFront;
 use crate::store::Write;
 use consensus::{Action, Event, Why};
@@ -41,9 +41,11 @@
                 for effect in &applied.effects {
                     self.tell(effect);
                 }
-                if let Some((by, ticket)) = applied.by {
-                    if by == self.settings.me {
-                        self.settled(ticket, &applied.effects);
+                self.cataloged(&applied.catalogue);
+                if let Some((_, ticket)) = applied.by.filter(|(by, _)| *by == self.settings.me) {
+                    match applied.catalogue {
+                        Cataloged::Ordered(version, _) => self.ordered(ticket, version),
+                        _ => self.settled(ticket, &applied.effects),
                     }
                 }
             }
@@ -51,6 +53,7 @@
                 Some(ledger) => {
                     self.ledger = ledger;
                     self.changed = true;
+                    self.cataloged(&Cataloged::Founded);
                     (self.log)(&format!("accord restored upto={}", index.0));
                 }
                 // Nothing may rest on half a state.
--- a/crates/accord/src/calls.rs
+++ b/crates/accord/src/calls.rs
@@ -10,7 +10,7 @@
 /// How long a caller waits.
 const PATIENCE: Duration = Duration::from_millis(1_400);
 /// Commands that may wait to come into the log.
-const WAITING: usize = 256;
+pub const WAITING: usize = 256;
 
 /// Where an answer goes.
 pub type Answer = async_channel::Sender<Told>;
@@ -62,6 +62,7 @@
             Call::Returned { name, id } => Command::Returned { name, id },
             Call::Done { name } => Command::Done { name },
             Call::Excuse { member } => Command::Excuse { member },
+            Call::Change(order) => return self.order(now, order, to),
         };
         if self.waiting.len() >= WAITING {
             return drop(to.try_send(Told::No("too many calls wait\n".into())));
--- a/crates/accord/src/core.rs
+++ b/crates/accord/src/core.rs
@@ -30,6 +30,8 @@
     Tell(ToAccord),
     /// From the disk.
     Disk(Wrote),
+    /// From this front's server of changes: for the others'.
+    Reports(Vec<changes::Report>),
 }
 
 /// What a front measured, as of when it came here.
@@ -88,6 +90,8 @@
     pub counts: Arc<crate::links::Counts>,
     /// What membership comes to.
     pub view: Arc<Mutex<View>>,
+    /// The server of changes of configuration, where there is one.
+    pub serves: Option<crate::changes::Serves>,
     /// Writes a line of the log.
     pub log: fn(&str),
 }
@@ -118,6 +122,7 @@
                 self.turn(now);
             }
             self.follow(now);
+            self.serve(now);
         }
     }
 
@@ -132,6 +137,10 @@
                 let (member, presence) = (self.settings.me.clone(), maintenance::Presence::Left);
                 self.say(now, What::Maintenance(maintenance::Command::Roster { member, presence }), None);
             }
+            Inbox::Reports(reports) => {
+                let frame = Frame::Reports(reports);
+                self.outbox.keys().for_each(|to| self.send(to, &frame));
+            }
             Inbox::Disk(Wrote::Batch(batch)) => self.log_event(consensus::Event::Persisted { batch }),
             Inbox::Disk(Wrote::Failed(batch)) => self.log_event(consensus::Event::PersistFailed { batch }),
             Inbox::Disk(Wrote::Recovered) => self.log_event(consensus::Event::Recovered),
@@ -154,6 +163,7 @@
                     self.send(&from, &Frame::Lease { asked, span });
                 }
             }
+            Frame::Reports(reports) => self.reported(reports),
             Frame::Lease { asked, span } => self.leased(Time(asked), Duration::from_micros(span)),
         }
     }
--- a/crates/accord/src/frames.rs
+++ b/crates/accord/src/frames.rs
@@ -2,6 +2,7 @@
 use crate::ledger::What;
 use crate::mail::Measures;
 use fleet::Index;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
 /// The form of the messages. A front does not act on another one, and says so.
@@ -42,15 +43,17 @@
         /// For how long, in microseconds.
         span: u64,
     },
+    /// Where changes of configuration are in force, as control machines tell each other.
+    Reports(Vec<changes::Report>),
 }
 
-/// A frame as bytes.
-pub fn write(frame: &Frame) -> Option<Vec<u8>> {
+/// A message as bytes.
+pub fn write<T: Serialize>(frame: &T) -> Option<Vec<u8>> {
     postcard::to_stdvec(&(VERSION, frame)).ok()
 }
 
-/// A frame from bytes; an error in plain words.
-pub fn read(bytes: &[u8]) -> Result<Frame, String> {
+/// A message from bytes; an error in plain words.
+pub fn read<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, String> {
     let (version, rest) = postcard::take_from_bytes::<u16>(bytes).map_err(|e| e.to_string())?;
     // Guards against messages of another form: what can't be known is not acted on.
     if version != VERSION {
@@ -68,7 +71,7 @@
         let bytes = write(&Frame::Lease { asked: 7, span: 9 }).unwrap();
         assert!(matches!(read(&bytes), Ok(Frame::Lease { asked: 7, span: 9 })));
         let other = postcard::to_stdvec(&(VERSION + 1, Frame::Lease { asked: 7, span: 9 })).unwrap();
-        assert!(read(&other).unwrap_err().contains("form 2"));
-        assert!(read(&bytes[..2]).is_err() && read(&[]).is_err());
+        assert!(read::<Frame>(&other).unwrap_err().contains("form 2"));
+        assert!(read::<Frame>(&bytes[..2]).is_err() && read::<Frame>(&[]).is_err());
     }
 }
--- a/crates/accord/src/lib.rs
+++ b/crates/accord/src/lib.rs
@@ -5,6 +5,7 @@
 //! writes to the disk. Each has its own state; between them are bounded mailboxes.
 mod apply;
 mod calls;
+pub mod changes;
 mod clock;
 mod core;
 mod disk;
--- a/crates/accord/src/links.rs
+++ b/crates/accord/src/links.rs
@@ -4,12 +4,13 @@
 use async_channel::Receiver;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
-use envelope::{Opener, Sealer, FRAME};
+use envelope::{Opened, Opener, Sealer, FRAME};
 use fleet::MemberId;
-use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
+use futures_lite::{future, AsyncRead, AsyncReadExt, AsyncWriteExt};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::cell::{Cell, RefCell};
+use std::future::Future;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -53,7 +54,8 @@
     pub frames: Receiver<Vec<u8>>,
 }
 
-async fn within<T>(work: impl std::future::Future<Output = Option<T>>) -> Option<T> {
+/// What comes of work that is given up where it takes too long.
+pub async fn within<T>(work: impl Future<Output = Option<T>>) -> Option<T> {
     future::or(work, async {
         Timer::after(PATIENCE).await;
         None
@@ -88,9 +90,9 @@
         let mut out = Vec::new();
         if fresh {
             let hello = frames::write(&Frame::Hello).unwrap_or_default();
-            put(&mut out, &link.to, &hello, &sealer);
+            put(&mut out, Some(&link.to), &hello, &sealer);
         }
-        put(&mut out, &link.to, &frame, &sealer);
+        put(&mut out, Some(&link.to), &frame, &sealer);
         if within(async { up.write_all(&out).await.ok() }).await.is_none() {
             counts.lost.fetch_add(1, Ordering::Relaxed);
             stream = None;
@@ -98,23 +100,22 @@
     }
 }
 
-/// A frame as it goes on the link; one that is too large is left out.
-fn put(out: &mut Vec<u8>, to: &MemberId, frame: &[u8], sealer: &RefCell<Sealer>) {
-    if let Ok(sealed) = sealer.borrow_mut().seal(Some(to), frame) {
-        out.extend(u32::try_from(sealed.len()).unwrap_or(u32::MAX).to_be_bytes());
-        out.extend(sealed);
-    }
+/// A frame as it goes on the link; one that is too large is left out, and false.
+pub fn put(out: &mut Vec<u8>, to: Option<&MemberId>, frame: &[u8], sealer: &RefCell<Sealer>) -> bool {
+    let Ok(sealed) = sealer.borrow_mut().seal(to, frame) else { return false };
+    out.extend(u32::try_from(sealed.len()).unwrap_or(u32::MAX).to_be_bytes());
+    out.extend(sealed);
+    true
 }
 
-/// Accepts links, at most so many at once.
-pub async fn accept(
+/// Accepts connections, at most so many at once, and says of each how many frames it carried and why it ended.
+pub async fn accept<F: Future<Output = (u64, String)> + 'static>(
     executor: Rc<LocalExecutor<'static>>,
     listener: Async<TcpListener>,
-    opener: Rc<RefCell<Opener>>,
-    came: Came,
     counts: Arc<Counts>,
     most: usize,
-    log: fn(&str),
+    (kind, log): (&'static str, fn(&str)),
+    serve: impl Fn(Async<TcpStream>) -> F,
 ) {
     let open = Rc::new(Cell::new(0));
     loop {
@@ -128,51 +129,28 @@
             continue;
         }
         open.set(open.get() + 1);
-        let (opener, came, counts, open) = (opener.clone(), came.clone(), counts.clone(), open.clone());
-        let reading = async move {
-            let why = read(stream, &opener, &came, &counts).await;
+        let (served, open) = (serve(stream), open.clone());
+        let serving = async move {
+            let (carried, reason) = served.await;
             open.set(open.get() - 1);
-            log(&format!("conn kind=front peer={from} carried={} reason={}", why.0, why.1));
+            log(&format!("conn kind={kind} peer={from} carried={carried} reason={reason}"));
         };
-        executor.spawn(reading).detach();
+        executor.spawn(serving).detach();
     }
 }
 
 /// Reads a link to its end; tells how many frames it carried, and why it ended.
-async fn read(
+pub async fn read(
     mut stream: Async<TcpStream>,
-    opener: &RefCell<Opener>,
-    came: &Came,
-    counts: &Counts,
+    opener: Rc<RefCell<Opener>>,
+    came: Came,
+    counts: Arc<Counts>,
 ) -> (u64, String) {
     let mut carried = 0;
     loop {
-        let mut length = [0; 4];
-        let head = async { stream.read_exact(&mut length).await.ok() };
-        let head = match carried {
-            0 => within(head).await,
-            _ => head.await,
-        };
-        if head.is_none() {
-            return (carried, if carried == 0 { "timeout".into() } else { "peer-closed".into() });
-        }
-        let length = u32::from_be_bytes(length) as usize;
-        let most = if carried == 0 { STRANGER } else { FRAME };
-        if length > most {
-            counts.refused.fetch_add(1, Ordering::Relaxed);
-            return (carried, "bound".into());
-        }
-        let mut bytes = vec![0; length];
-        let body = async { stream.read_exact(&mut bytes).await.ok() };
-        if within(body).await.is_none() {
-            return (carried, "reset".into());
-        }
-        let opened = match opener.borrow_mut().open_on(CHANNEL, &bytes) {
+        let opened = match next(&mut stream, CHANNEL, (carried, FRAME), &opener, &counts).await {
             Ok(opened) => opened,
-            Err(why) => {
-                counts.refused.fetch_add(1, Ordering::Relaxed);
-                return (carried, format!("{why:?}").to_lowercase());
-            }
+            Err(why) => return (carried, why),
         };
         carried += 1;
         match frames::read(&opened.body) {
@@ -188,3 +166,37 @@
         }
     }
 }
+
+/// The next frame of a connection that has carried so many and may carry frames so long; why it ended, where there is none.
+pub async fn next(
+    stream: &mut (impl AsyncRead + Unpin),
+    channel: u8,
+    (carried, longest): (u64, usize),
+    opener: &RefCell<Opener>,
+    counts: &Counts,
+) -> Result<Opened, String> {
+    let mut length = [0; 4];
+    let head = async { stream.read_exact(&mut length).await.ok() };
+    let head = match carried {
+        0 => within(head).await,
+        _ => head.await,
+    };
+    if head.is_none() {
+        return Err(if carried == 0 { "timeout" } else { "peer-closed" }.into());
+    }
+    let length = u32::from_be_bytes(length) as usize;
+    let most = if carried == 0 { STRANGER } else { longest };
+    if length > most {
+        counts.refused.fetch_add(1, Ordering::Relaxed);
+        return Err("bound".into());
+    }
+    let mut bytes = vec![0; length];
+    let body = async { stream.read_exact(&mut bytes).await.ok() };
+    if within(body).await.is_none() {
+        return Err("reset".into());
+    }
+    opener.borrow_mut().open_on(channel, &bytes).map_err(|why| {
+        counts.refused.fetch_add(1, Ordering::Relaxed);
+        format!("{why:?}").to_lowercase()
+    })
+}
--- a/crates/accord/src/mail.rs
+++ b/crates/accord/src/mail.rs
@@ -85,6 +85,8 @@
         /// The front.
         member: MemberId,
     },
+    /// Changes of configuration; the answer is their version.
+    Change(changes::Order),
 }
 
 /// The answer to a call.
--- a/crates/accord/src/net.rs
+++ b/crates/accord/src/net.rs
@@ -90,14 +90,14 @@
         let link = links::Out { to: member.clone(), at: fellow.at, frames: frames.clone() };
         executor.spawn(links::send(link, sealer.clone(), net.counts.clone())).detach();
     }
+    let (came, counts) = (net.came.clone(), net.counts.clone());
     let taken = links::accept(
         executor.clone(),
         sockets.tcp,
-        opener,
-        net.came.clone(),
         net.counts.clone(),
         2 * net.settings.members.len() + 8,
-        net.log,
+        ("front", net.log),
+        move |stream| links::read(stream, opener.clone(), came.clone(), counts.clone()),
     );
     executor.spawn(taken).detach();
     future::block_on(executor.run(membership(&net, keys, sockets.udp, &rekey)));
--- a/crates/accord/src/start.rs
+++ b/crates/accord/src/start.rs
@@ -1,4 +1,5 @@
 //! The start of the hosts: the store is read and the sockets are bound first, so that what is wrong ends the start.
+use crate::changes::{Mailbox, Serves};
 use crate::clock::{unix, Clock};
 use crate::core::{Core, Inbox};
 use crate::disk::Disk;
@@ -54,6 +55,11 @@
         let _ = self.members.try_send(members::Event::Keys(envelope::Keys::new(keys.0, keys.1)));
     }
 
+    /// Where this front's server of changes tells what the others' are to know.
+    pub(crate) fn reports(&self) -> SyncSender<Inbox> {
+        self.inbox.clone()
+    }
+
     /// Letters that found no room.
     pub fn full(&self) -> u64 {
         self.full.load(Ordering::Relaxed)
@@ -69,10 +75,12 @@
     config
 }
 
-/// Starts the hosts. What they tell the front goes to that mailbox; an error names the key.
+/// Starts the hosts. What they tell the front goes to that mailbox, and what becomes of changes of configuration to the one that
+/// serves them, where there is one; an error names the key.
 pub fn start(
     settings: Settings,
     to_front: async_channel::Sender<ToFront>,
+    serves: Option<Mailbox>,
     log: fn(&str),
 ) -> Result<Handle, String> {
     let fault = |e: &dyn std::fmt::Display| format!("accord.state: {e}");
@@ -137,6 +145,7 @@
         late: VecDeque::new(),
         counts,
         view,
+        serves: serves.map(Serves::new),
         log,
     };
     orders.into_iter().for_each(|order| core.own_action(now, order));
--- /dev/null
+++ b/crates/changes/src/stored.rs
@@ -0,0 +1,70 @@
+//! What a front keeps on its disk: all that it holds of its scope, as of a version.
+use crate::message::Refusal;
+use crate::names::Change;
+use fleet::Index;
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use xxhash_rust::xxh3::xxh3_64;
+
+const MAGIC: &[u8; 4] = b"chgs";
+/// The form of what is stored.
+const FORM: u16 = 1;
+
+/// Why what is stored counts for nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StoredFault {
+    /// Not what this program writes.
+    Foreign,
+    /// Of another form: perhaps a newer program's.
+    Form(u16),
+    /// Cut off, or damaged.
+    Torn,
+}
+
+impl fmt::Display for StoredFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            StoredFault::Foreign => f.write_str("it is not a store of changes"),
+            StoredFault::Form(form) => write!(f, "it has form {form}, this program's has {FORM}"),
+            StoredFault::Torn => f.write_str("it is cut off or damaged"),
+        }
+    }
+}
+
+/// What is stored.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Stored {
+    pub lineage: u64,
+    pub upto: Index,
+    pub entries: Vec<Change>,
+    pub refused: Vec<Refusal>,
+}
+
+/// As bytes, with a sum over them.
+pub(crate) fn encode(stored: &Stored) -> Vec<u8> {
+    let body = postcard::to_stdvec(stored).unwrap_or_default();
+    let mut bytes = Vec::with_capacity(body.len() + 14);
+    bytes.extend(MAGIC);
+    bytes.extend(FORM.to_be_bytes());
+    bytes.extend(&body);
+    bytes.extend(xxh3_64(&bytes).to_be_bytes());
+    bytes
+}
+
+/// From bytes; whole or not at all.
+pub(crate) fn decode(bytes: &[u8]) -> Result<Stored, StoredFault> {
+    let rest = bytes.strip_prefix(MAGIC.as_slice()).ok_or(match bytes.len() {
+        0..4 => StoredFault::Torn,
+        _ => StoredFault::Foreign,
+    })?;
+    let (form, rest) = rest.split_first_chunk::<2>().ok_or(StoredFault::Torn)?;
+    let form = u16::from_be_bytes(*form);
+    if form != FORM {
+        return Err(StoredFault::Form(form));
+    }
+    let (body, sum) = rest.split_last_chunk::<8>().ok_or(StoredFault::Torn)?;
+    if xxh3_64(&bytes[..bytes.len() - 8]) != u64::from_be_bytes(*sum) {
+        return Err(StoredFault::Torn);
+    }
+    postcard::from_bytes(body).map_err(|_| StoredFault::Torn)
+}
--- /dev/null
+++ b/crates/changes/src/subscriber/calls.rs
@@ -0,0 +1,62 @@
+//! Calls for a relay, by the law that counts for discovery too.
+use super::{Action, Subscriber};
+use crate::message::ToRelay;
+use backoff::{Failure, LIVENESS};
+use fleet::Time;
+use std::time::Duration;
+
+impl Subscriber {
+    /// What is due: a call, or the end of a link that says nothing.
+    pub(super) fn time(&mut self, now: Time, out: &mut Vec<Action>) {
+        let silent = Duration::from_micros(LIVENESS as u64);
+        if let Some(call) = self.follows.filter(|_| now.since(self.heard) >= silent) {
+            out.push(Action::Close { call });
+            self.down(now, call, Failure::Silent);
+        }
+        if self.caller.due().is_some_and(|due| due <= now.0 as i64) && self.follows.is_none() {
+            let made = self.caller.call(now.0 as i64);
+            if let Some(number) = made.instead_of {
+                self.calls.retain(|call| *call != number);
+                out.push(Action::Close { call: number });
+            }
+            self.calls.push(made.number);
+            self.figures.calls += 1;
+            let relay = (self.passed + self.calls.len() - 1) % self.relays;
+            out.push(Action::Connect { call: made.number, relay });
+        }
+    }
+
+    pub(super) fn up(&mut self, call: u64, out: &mut Vec<Action>) {
+        if self.calls.contains(&call) {
+            self.subscribe(call, out);
+        }
+    }
+
+    pub(super) fn subscribe(&mut self, call: u64, out: &mut Vec<Action>) {
+        let (lineage, scope, from) = (self.held.lineage(), self.scope.clone(), self.place());
+        out.push(Action::Send { call, message: ToRelay::Subscribe { lineage, scope, from } });
+    }
+
+    pub(super) fn down(&mut self, now: Time, call: u64, failure: Failure) {
+        if self.follows == Some(call) {
+            // What came in part counts for nothing; what is being decided goes on.
+            (self.follows, self.staging) = (None, None);
+            self.passed += usize::from(failure == Failure::Silent);
+            self.caller.ended(now.0 as i64, failure);
+        } else if self.calls.contains(&call) {
+            self.passed += 1;
+            self.caller.failed(now.0 as i64, call, failure);
+        }
+        self.calls.retain(|number| *number != call);
+    }
+
+    /// A relay has taken this one on: all other calls are given up.
+    pub(super) fn follow(&mut self, now: Time, call: u64, out: &mut Vec<Action>) {
+        self.caller.up(now.0 as i64);
+        (self.follows, self.staging) = (Some(call), None);
+        for number in self.calls.iter().filter(|number| **number != call) {
+            out.push(Action::Close { call: *number });
+        }
+        self.calls.retain(|number| *number == call);
+    }
+}
--- /dev/null
+++ b/crates/changes/src/subscriber/held.rs
@@ -0,0 +1,165 @@
+//! What a subscriber holds: the newest of each key, in force or refused.
+use crate::digest::part;
+use crate::message::Refusal;
+use crate::names::{Change, Key};
+use crate::report::WORST;
+use crate::stored::{encode, Stored};
+use fleet::Index;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+#[derive(Clone, Debug)]
+struct Value {
+    /// What is in force; none where nothing ever was.
+    force: Option<Change>,
+    /// The newest, where it was refused, and why.
+    refused: Option<(Change, String)>,
+}
+
+impl Value {
+    fn newest(&self) -> Option<&Change> {
+        self.refused.as_ref().map(|(change, _)| change).or(self.force.as_ref())
+    }
+}
+
+/// All that is held of a scope.
+#[derive(Clone, Debug, Default)]
+pub struct Held {
+    lineage: u64,
+    upto: Index,
+    /// The greatest that `upto` ever was: nothing older may come back, also where all is asked for anew.
+    highest: Index,
+    values: BTreeMap<Key, Value>,
+    sum: u64,
+    refusing: usize,
+}
+
+impl Held {
+    /// Which log it belongs to; 0 where none was ever heard.
+    pub fn lineage(&self) -> u64 {
+        self.lineage
+    }
+
+    /// Up to where everything was decided on.
+    pub fn upto(&self) -> Index {
+        self.upto
+    }
+
+    /// How many keys are held.
+    pub fn len(&self) -> usize {
+        self.values.len()
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.values.is_empty()
+    }
+
+    /// What is in force of a key, with its version.
+    pub fn get(&self, key: &Key) -> Option<(Index, &Arc<[u8]>)> {
+        let change = self.values.get(key)?.force.as_ref()?;
+        Some((change.version, change.value.as_ref()?))
+    }
+
+    /// The newest version known of a key, in force or refused.
+    pub fn version(&self, key: &Key) -> Option<Index> {
+        self.values.get(key)?.newest().map(|change| change.version)
+    }
+
+    /// Everything that is in force.
+    pub fn changes(&self) -> Vec<Change> {
+        self.values.values().filter_map(|v| v.force.clone()).collect()
+    }
+
+    /// What was refused and is still the newest, and why: so many at most.
+    pub fn refused(&self) -> Vec<Refusal> {
+        let refused = self.values.values().filter(|_| self.refusing > 0).filter_map(|v| v.refused.as_ref());
+        let told = |(change, why): &(Change, String)| {
+            let why = why.chars().take(200).collect();
+            Refusal { key: change.key.clone(), version: change.version, why }
+        };
+        refused.map(told).take(WORST).collect()
+    }
+
+    pub(crate) fn highest(&self) -> Index {
+        self.highest
+    }
+
+    pub(crate) fn sum(&self) -> u64 {
+        self.sum
+    }
+
+    /// Everything is to be asked for anew; what is in force stays.
+    pub(crate) fn rewind(&mut self) {
+        self.upto = Index(0);
+    }
+
+    /// The log went on, and nothing of it is in the scope.
+    pub(crate) fn pass(&mut self, upto: Index) {
+        self.upto = self.upto.max(upto);
+        self.highest = self.highest.max(upto);
+    }
+
+    fn toggle(&mut self, key: &Key) {
+        let newest = self.values.get(key).and_then(Value::newest);
+        if let Some(Change { version, value: Some(value), .. }) = newest {
+            self.sum ^= part(key, *version, value);
+        }
+    }
+
+    /// A change was decided on: in force, or refused, and why.
+    pub(crate) fn put(&mut self, change: Change, why: Option<String>) {
+        let key = change.key.clone();
+        self.toggle(&key);
+        let value = self.values.entry(key.clone()).or_insert(Value { force: None, refused: None });
+        self.refusing -= usize::from(value.refused.is_some());
+        match why {
+            Some(why) => value.refused = Some((change, why)),
+            None => *value = Value { force: Some(change), refused: None },
+        }
+        self.refusing += usize::from(value.refused.is_some());
+        if value.refused.is_none() && value.force.as_ref().is_none_or(|c| c.value.is_none()) {
+            self.values.remove(&key);
+        }
+        self.toggle(&key);
+    }
+
+    /// Keys that a whole snapshot leaves out are held no more.
+    pub(crate) fn begin(&mut self, lineage: u64) -> Held {
+        std::mem::replace(self, Held { lineage, ..Held::default() })
+    }
+
+    /// The force of a key before, where the newest was refused.
+    pub(crate) fn keep(&mut self, key: &Key, before: &Held) {
+        let force = before.values.get(key).and_then(|v| v.force.clone());
+        if let (Some(force), Some(value)) = (force, self.values.get_mut(key)) {
+            value.force = value.force.take().or(Some(force));
+        }
+    }
+
+    pub(crate) fn store(&self) -> Vec<u8> {
+        let refused = self.values.values().filter_map(|v| v.refused.as_ref());
+        let refused = refused.map(|(change, why)| Refusal {
+            key: change.key.clone(),
+            version: change.version,
+            why: why.clone(),
+        });
+        encode(&Stored {
+            lineage: self.lineage,
+            upto: self.upto,
+            entries: self.changes(),
+            refused: refused.collect(),
+        })
+    }
+}
+
+impl From<Stored> for Held {
+    fn from(stored: Stored) -> Held {
+        let mut held = Held { lineage: stored.lineage, ..Held::default() };
+        // What was refused is asked for again: the program may have learned to take it.
+        held.highest = stored.upto;
+        held.upto = if stored.refused.is_empty() { stored.upto } else { Index(0) };
+        stored.entries.into_iter().for_each(|change| held.put(change, None));
+        held
+    }
+}
--- a/crates/config/src/accord.rs
+++ b/crates/config/src/accord.rs
@@ -118,24 +118,7 @@
 
     /// The keys as bytes: the one that signs, and the other one.
     pub fn keys(&self) -> Result<([u8; 32], Option<[u8; 32]>), Fault> {
-        if self.keys.is_empty() || self.keys.len() > 2 {
-            return fault("accord.keys", "must be one key, or two while one follows the other");
-        }
-        let mut keys = Vec::new();
-        for (i, text) in self.keys.iter().enumerate() {
-            let key = format!("accord.keys[{i}]");
-            let Some(bytes) = hex(text) else {
-                return fault(key, "must be 64 hex digits");
-            };
-            if bytes.iter().all(|b| *b == bytes[0]) {
-                return fault(key, "is one byte over and over: draw it by chance (openssl rand -hex 32)");
-            }
-            keys.push(bytes);
-        }
-        if keys.len() == 2 && keys[0] == keys[1] {
-            return fault("accord.keys[1]", "is the same as the first");
-        }
-        Ok((keys[0], keys.get(1).copied()))
+        keys("accord.keys", &self.keys)
     }
 
     /// Checks the section for the front of that name and halls, which are the zones of the settings.
@@ -200,6 +183,28 @@
     }
 }
 
+/// Keys as bytes: the one that signs, and the other one.
+pub(crate) fn keys(at: &str, texts: &[String]) -> Result<([u8; 32], Option<[u8; 32]>), Fault> {
+    if texts.is_empty() || texts.len() > 2 {
+        return fault(at, "must be one key, or two while one follows the other");
+    }
+    let mut keys = Vec::new();
+    for (i, text) in texts.iter().enumerate() {
+        let key = format!("{at}[{i}]");
+        let Some(bytes) = hex(text) else {
+            return fault(key, "must be 64 hex digits");
+        };
+        if bytes.iter().all(|b| *b == bytes[0]) {
+            return fault(key, "is one byte over and over: draw it by chance (openssl rand -hex 32)");
+        }
+        keys.push(bytes);
+    }
+    if keys.len() == 2 && keys[0] == keys[1] {
+        return fault(format!("{at}[1]"), "is the same as the first");
+    }
+    Ok((keys[0], keys.get(1).copied()))
+}
+
 /// 32 bytes from 64 hex digits.
 fn hex(text: &str) -> Option<[u8; 32]> {
     let mut bytes = [0; 32];
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -41,6 +41,13 @@
             );
         }
     }
+    if let Some(changes) = &file.changes {
+        changes.check(file.name.as_deref().unwrap_or(DEFAULT_NAME), file.accord.is_some())?;
+        // Guards descriptors: those of subscribers come beside all others.
+        if changes.listen.is_some() && changes.most as usize > file.limits.sockets / 2 {
+            return fault("changes.most", "is more than half of limits.sockets");
+        }
+    }
     let boxes = known.targets.iter().position(|t| t.speaks == Speaks::Iscsi);
     if let (Some(i), None) = (boxes, &file.iscsi) {
         return fault(format!("known.instances[{i}].speaks"), "iscsi needs LUNs under iscsi.lun");
--- a/crates/config/src/environment.rs
+++ b/crates/config/src/environment.rs
@@ -1,13 +1,30 @@
 //! What the environment names, over what the file says.
-use crate::{fault, read, Config, Fault};
+use crate::file::read_under;
+use crate::{fault, Config, Fault};
+use serde_json::Value;
 use std::net::SocketAddr;
 
 /// Reads the configuration that the environment names.
 pub fn from_env(var: impl Fn(&str) -> Option<String>) -> Result<Config, Fault> {
+    let (path, text) = file(&var)?;
+    under(var, (&path, &text), &[])
+}
+
+/// The name and the text of the file.
+pub(crate) fn file(var: impl Fn(&str) -> Option<String>) -> Result<(String, String), Fault> {
     let Some(path) = var("GW_CONFIG") else { return fault("GW_CONFIG", "is not set") };
     let text = std::fs::read_to_string(&path)
         .map_err(|e| Fault { key: "GW_CONFIG".into(), reason: format!("{path}: {e}") })?;
-    let mut config = read(&path, &text)?;
+    Ok((path, text))
+}
+
+/// The configuration of that file, with settings laid over its own.
+pub(crate) fn under(
+    var: impl Fn(&str) -> Option<String>,
+    (path, text): (&str, &str),
+    over: &[Value],
+) -> Result<Config, Fault> {
+    let mut config = read_under(path, text, over)?;
     if let Some(name) = var("GW_NAME") {
         config.name = name;
     }
--- a/crates/config/src/file.rs
+++ b/crates/config/src/file.rs
@@ -1,7 +1,9 @@
 //! A file's text, read section by section.
 use crate::check::check;
 use crate::shape::Shape;
-use crate::{gathers, targets, Accord, Class, Clients, Config, Fault, Iscsi, Limits, Listen, Targets};
+use crate::{
+    gathers, targets, Accord, Changes, Class, Clients, Config, Fault, Iscsi, Limits, Listen, Targets,
+};
 use oxbowhill::interface::Micros;
 use serde::Deserialize;
 use serde_json::Value;
@@ -40,6 +42,8 @@
     #[serde(default)]
     pub accord: Option<Accord>,
     #[serde(default)]
+    pub changes: Option<Changes>,
+    #[serde(default)]
     pub gather: Vec<gather::Policy>,
 }
 
@@ -102,8 +106,23 @@
     "clients",
 ];
 
+/// Lays settings over others: key by key, and so within objects; what is no object takes the other's place.
+fn lay_over(under: &mut Value, over: &Value) {
+    match (under, over) {
+        (Value::Object(under), Value::Object(over)) => {
+            over.iter().for_each(|(key, over)| lay_over(under.entry(key).or_insert(Value::Null), over));
+        }
+        (under, over) => *under = over.clone(),
+    }
+}
+
 /// Reads and checks a file's text: TOML where the name ends so, else JSON.
 pub fn read(name: &str, text: &str) -> Result<Config, Fault> {
+    read_under(name, text, &[])
+}
+
+/// The same, with these settings laid over the file's own, one after the other.
+pub(crate) fn read_under(name: &str, text: &str, over: &[Value]) -> Result<Config, Fault> {
     let value: Value = if name.ends_with(".toml") {
         toml::from_str(text).map_err(|e| Fault { key: name.into(), reason: e.to_string() })?
     } else {
@@ -118,6 +137,10 @@
             object.retain(|k, _| PLATFORM_KEYS.contains(&k.as_str()));
         }
     }
+    // The shape is the file's own: what lies over it comes and goes.
+    if let Some(settings) = value.get_mut("settings") {
+        over.iter().for_each(|over| lay_over(settings, over));
+    }
     let mut file: FileIn = section(value, "")?;
     let mut setup = std::mem::take(&mut file.settings);
     if let Some(object) = setup.as_object_mut() {
@@ -176,6 +199,8 @@
         admin: file.admin,
         iscsi: file.iscsi,
         accord: file.accord,
+        source: file.changes.is_some().then(|| Arc::new((name.into(), text.into()))),
+        changes: file.changes,
         gathers: file.gather.into_iter().map(Arc::new).collect(),
         shape,
     })
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,6 +1,7 @@
 //! The one place where configuration is read, checked and given defaults: GW_* and GW_CONFIG (JSON) on the
 //! platform, an operator's TOML in a sidecar. Both have the same keys. A fault names its key.
 mod accord;
+mod changes;
 mod check;
 mod environment;
 mod fault;
@@ -14,6 +15,7 @@
 mod write;
 
 pub use accord::{Accord, Evidence, Fellow, Out};
+pub use changes::{Changes, Upstream};
 pub use environment::from_env;
 pub use fault::Fault;
 pub use file::read;
@@ -73,6 +75,10 @@
     pub iscsi: Option<Iscsi>,
     /// The fronts that act together.
     pub accord: Option<Accord>,
+    /// How changes of configuration come.
+    pub changes: Option<Changes>,
+    /// The name and the text of the file, where changes may be laid over it.
+    source: Option<Arc<(String, String)>>,
     /// Answers that are gathered from parts.
     pub gathers: Vec<Arc<gather::Policy>>,
     /// The keys that a file of the platform had; a later one must have them too.
--- a/crates/config/src/reload.rs
+++ b/crates/config/src/reload.rs
@@ -1,6 +1,8 @@
 //! A later file in the place of the one in force.
-use crate::{fault, from_env, gathers, iscsi, Accord, Class, Config, Fault};
+use crate::{environment, fault, gathers, iscsi, Accord, Changes, Class, Config, Fault};
+use serde_json::Value;
 use std::collections::BTreeSet;
+use std::sync::Arc;
 
 /// The most classes, plans or zones; a reload keeps those that are left out, so their number could grow.
 const MOST_NAMES: usize = 256;
@@ -49,7 +51,34 @@
     /// keys have changed that need a restart and stay as they were. Indexes of classes, plans and zones that are in
     /// use keep their meaning. Discovery is the one that the file names, where it names another than before.
     pub fn reload(&self, var: impl Fn(&str) -> Option<String>) -> Result<(Config, Vec<&'static str>), Fault> {
-        let mut new = from_env(|key| if key == "GW_DISCOVERY" { None } else { var(key) })?;
+        self.reload_under(var, &[])
+    }
+
+    /// The same, with settings laid over the file's own, one after the other.
+    pub fn reload_under(
+        &self,
+        var: impl Fn(&str) -> Option<String>,
+        over: &[Value],
+    ) -> Result<(Config, Vec<&'static str>), Fault> {
+        let (path, text) = environment::file(&var)?;
+        self.replaced(var, (&path, &text), over)
+    }
+
+    /// The file in force, with other settings laid over its own: read and checked as another file would be.
+    pub fn put_under(&self, var: impl Fn(&str) -> Option<String>, over: &[Value]) -> Result<Config, Fault> {
+        let Some(source) = &self.source else { return fault("changes", "is not in the configuration") };
+        Ok(self.replaced(var, (&source.0, &source.1), over)?.0)
+    }
+
+    fn replaced(
+        &self,
+        var: impl Fn(&str) -> Option<String>,
+        file: (&str, &str),
+        over: &[Value],
+    ) -> Result<(Config, Vec<&'static str>), Fault> {
+        let named = |key: &str| if key == "GW_DISCOVERY" { None } else { var(key) };
+        let mut new = environment::under(named, file, over)?;
+        new.source = self.source.as_ref().map(|_| Arc::new((file.0.into(), file.1.into())));
         // Guards the settings in force against a file that was cut or lost a section: what has a default elsewhere, such
         // as the rule on cold boxes, would be off.
         if let Some(key) = self.shape.missing_in(&new.shape) {
@@ -100,6 +129,7 @@
             ("iscsi", new.iscsi == self.iscsi),
             // Keys change in service; all else of it needs a restart.
             ("accord", Accord::same_but_keys(new.accord.as_ref(), self.accord.as_ref())),
+            ("changes", Changes::same_but_keys(new.changes.as_ref(), self.changes.as_ref())),
             ("gather", new.gathers == self.gathers),
         ];
         let kept = checks.into_iter().filter(|(_, same)| !same).map(|(key, _)| key).collect();
@@ -112,6 +142,11 @@
         if let (Some(accord), Some(keys)) = (&mut new.accord, keys) {
             accord.keys = keys;
         }
+        let keys = new.changes.take().map(|changes| changes.keys);
+        new.changes = self.changes.clone();
+        if let (Some(changes), Some(keys)) = (&mut new.changes, keys) {
+            changes.keys = keys;
+        }
         Ok((new, kept))
     }
 }
--- /dev/null
+++ b/crates/config/tests/changes.rs
@@ -0,0 +1,91 @@
+//! The section about changes of configuration: good files, each fault with its key, and settings that lie over a file's own.
+#![allow(clippy::unwrap_used)]
+use rstest::rstest;
+use serde_json::json;
+
+const VOTER: &str = include_str!("../../../deploy/changes-voter.toml");
+const RELAY: &str = include_str!("../../../deploy/changes-relay.toml");
+const FRONT: &str = include_str!("../../../deploy/changes-front.toml");
+
+fn fault(text: &str) -> String {
+    config::read("front.toml", text).map(|_| ()).unwrap_err().key
+}
+
+#[test]
+fn the_deployed_files_and_a_written_one_are_good() {
+    let read = |text| config::read("x.toml", text).unwrap().changes.unwrap();
+    assert_eq!((read(VOTER).relays.len(), read(RELAY).relays.len(), read(FRONT).relays.len()), (0, 3, 3));
+    assert!(read(RELAY).relays[1].equal && !read(FRONT).relays[2].equal);
+    let written = config::application("label-printer").unwrap();
+    assert!(config::read("x.toml", &written).unwrap().changes.is_none(), "off unless an operator sets it");
+    // What is written as a comment is good once it is no comment any more.
+    let (_, block) = written.split_once("# [changes]").unwrap();
+    let (block, _) = block.split_once("# Answers").unwrap();
+    let lines: Vec<&str> =
+        block.lines().map(|l| l.strip_prefix("# ").unwrap_or(l.trim_start_matches('#'))).collect();
+    let key = "0123456789abcdef".repeat(4);
+    let set = format!("{written}\n[changes]{}", lines.join("\n").replace("KEY", &key));
+    assert_eq!(read(&set).shards, [0]);
+}
+
+#[rstest]
+#[case::key(VOTER, "keys = [\"93c1", "keys = [\"zz\", \"93c1", "changes.keys[0]")]
+#[case::no_key(FRONT, "keys = [\"93c1", "keys = [] # ", "changes.keys")]
+#[case::a_voter_follows(
+    VOTER,
+    "batch_s = 2.0",
+    "relay = [{ name = \"x\", at = \"127.0.0.9:1\" }] #",
+    "changes.relay"
+)]
+#[case::long_batch(VOTER, "batch_s = 2.0", "batch_s = 20.0", "changes.batch_s")]
+#[case::more_than_descriptors(VOTER, "most = 256", "most = 600", "changes.most")]
+#[case::nobody(VOTER, "most = 256", "most = 0", "changes.most")]
+#[case::admission(
+    VOTER,
+    "admission_bytes_s = 1000000.0",
+    "admission_bytes_s = 1.0",
+    "changes.admission_bytes_s"
+)]
+#[case::a_relay_without_another(RELAY, "[[changes.relay]]", "[[changes.other]]", "changes.other")]
+#[case::address(RELAY, "at = \"127.0.0.2:7950\"", "at = \"voter-2\"", "changes.relay[1].at")]
+#[case::one_address(RELAY, "at = \"127.0.0.2:7950\"", "at = \"127.0.0.1:7950\"", "changes.relay[1].at")]
+#[case::itself(RELAY, "name = \"voter-3\"", "name = \"relay-a\"", "changes.relay[2].name")]
+#[case::twice(RELAY, "name = \"voter-3\"", "name = \"voter-1\"", "changes.relay[2].name")]
+#[case::a_relay_has_no_scope(RELAY, "[changes]\n", "[changes]\nshards = [1]\n", "changes.shards")]
+#[case::a_relay_keeps_nothing(RELAY, "[changes]\n", "[changes]\nstate = \"/x\"\n", "changes.state")]
+#[case::no_full_path(FRONT, "state = \"/var", "state = \"var", "changes.state")]
+#[case::region(FRONT, "region = \"region-a\"", "region = \"a/b\"", "changes.region")]
+#[case::volume(FRONT, "volumes = [\"0000000000000001\"]", "volumes = [\"a\", \"\"]", "changes.volumes[1]")]
+#[case::shard(FRONT, "shards = [0]", "shards = [-1]", "changes.shards[0]")]
+#[case::unknown_key(FRONT, "zone = \"hall-a\"", "hall = \"hall-a\"", "changes.hall")]
+fn a_fault_names_its_key(#[case] good: &str, #[case] from: &str, #[case] to: &str, #[case] key: &str) {
+    assert!(good.contains(from), "{from}");
+    assert_eq!(fault(&good.replace(from, to)), key);
+}
+
+#[test]
+fn settings_lie_over_the_file_key_by_key_and_a_faulty_one_is_named() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("front.toml");
+    std::fs::write(&path, FRONT).unwrap();
+    let var = |key: &str| (key == "GW_CONFIG").then(|| path.to_str().unwrap().to_string());
+    let file = config::from_env(var).unwrap();
+    let attempts = |config: &config::Config| (config.settings.max_attempts, config.idle.0);
+    assert_eq!(attempts(&file), (3, 15_000_000));
+    let over = [json!({"Limits": {"MaxAttempts": 2}}), json!({"Limits": {"ConnIdleS": 9.0}})];
+    let put = file.put_under(var, &over).unwrap();
+    assert_eq!(attempts(&put), (2, 9_000_000));
+    // The last one wins, and what lay there before does not stay.
+    let put = put.put_under(var, &[over[0].clone(), json!({"Limits": {"MaxAttempts": 4}})]).unwrap();
+    assert_eq!(attempts(&put), (4, 15_000_000));
+    let why = put.put_under(var, &[json!({"FamilyInfo": {"MostUnits": 0.0}})]).unwrap_err().to_string();
+    assert!(why.contains("most_units"), "{why}");
+    // A later file counts only once it is read again; what lies over it stays over it.
+    std::fs::write(&path, FRONT.replace("ConnIdleS = 15.0", "ConnIdleS = 12.0")).unwrap();
+    assert_eq!(attempts(&put.put_under(var, &over[..1]).unwrap()), (2, 15_000_000));
+    let (read, kept) = put.reload_under(var, &over[..1]).unwrap();
+    assert_eq!((attempts(&read), kept.is_empty()), ((2, 12_000_000), true));
+    assert_eq!(attempts(&read.put_under(var, &[]).unwrap()), (3, 12_000_000));
+    let no_section = config::read("x.toml", &config::application("x").unwrap()).unwrap();
+    assert_eq!(no_section.put_under(var, &[]).unwrap_err().key, "changes");
+}
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -2,6 +2,8 @@
 
 /// The longest head.
 const HEAD: usize = 8 * 1024;
+/// The longest body of a request.
+pub const BODY: usize = 64 * 1024;
 
 /// Why bytes can't be understood; its text names the fault.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -61,6 +63,25 @@
     }
 }
 
+/// The body of a request that states its length; none while it is not whole. Without a statement it is empty.
+pub fn request_body(bytes: &[u8]) -> Part<&[u8]> {
+    let Some((text, end)) = head(bytes)? else { return Ok(None) };
+    let mut length = 0;
+    for line in text.split("\r\n").skip(1) {
+        let (name, value) = line.split_once(':').ok_or(Malformed("not a header"))?;
+        if name.eq_ignore_ascii_case("transfer-encoding") {
+            return Err(Malformed("a body must state its length"));
+        }
+        if name.eq_ignore_ascii_case("content-length") {
+            length = value.trim().parse::<usize>().map_err(|_| Malformed("not a length"))?;
+        }
+    }
+    if length > BODY {
+        return Err(Malformed("a body has 64 KiB at most"));
+    }
+    Ok(bytes.get(end..end + length))
+}
+
 /// A part of a target with its `%` escapes resolved; what is no escape stays as it is.
 pub fn unescape(text: &str) -> String {
     let digit = |b: Option<&u8>| b.and_then(|b| char::from(*b).to_digit(16));
--- a/crates/http/tests/parts.rs
+++ b/crates/http/tests/parts.rs
@@ -1,6 +1,6 @@
 //! Heads and chunks, in whatever parts they come.
 #![allow(clippy::unwrap_used)]
-use http::{answer_head, request_head, Chunks, Length};
+use http::{answer_head, request_body, request_head, Chunks, Length, BODY};
 
 #[test]
 fn an_answer_with_chunks_byte_by_byte() {
@@ -30,3 +30,22 @@
     assert!(Chunks::LineEnd.read(b"xx", &mut vec![]).is_err());
     assert_eq!(Chunks::Size.read(b"ffffffffffffffff\r\nx", &mut vec![]), Ok(19), "a huge chunk is not held");
 }
+
+#[test]
+fn a_request_has_the_body_whose_length_it_states() {
+    let whole = b"POST /x HTTP/1.1\r\nHost: x\r\ncontent-length: 4\r\n\r\n{\"\"}and more";
+    let body = whole.len() - 12;
+    for part in 0..body + 4 {
+        assert_eq!(request_body(&whole[..part]), Ok(None));
+    }
+    assert_eq!(request_body(whole), Ok(Some(&b"{\"\"}"[..])));
+    assert_eq!(request_body(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"), Ok(Some(&b""[..])));
+    for line in [
+        "Transfer-Encoding: chunked",
+        "Content-Length: -1",
+        "no header",
+        &format!("Content-Length: {}", BODY + 1),
+    ] {
+        assert!(request_body(format!("POST / HTTP/1.1\r\n{line}\r\n\r\n").as_bytes()).is_err(), "{line}");
+    }
+}
--- a/crates/lichenrudder/src/agent.rs
+++ b/crates/lichenrudder/src/agent.rs
@@ -1,5 +1,6 @@
 //! What balancers ask for: the agent check (a line on connecting, as HAProxy reads it) and HTTP health checks; and
 //! the connections on which operators call.
+use crate::change_orders;
 use crate::context::Context;
 use crate::operators::{self, Operators};
 use crate::wire::{accept, Moved, Reason, Wire};
@@ -25,6 +26,8 @@
 /// How long one check may take.
 const PATIENCE: Duration = Duration::from_secs(2);
 const BOUNDS: (usize, usize) = (16 * 1024, 4096);
+/// Operators' calls may have bodies, and long answers.
+const OPERATORS: (usize, usize) = (16 * 1024 + http::BODY, 256 * 1024);
 
 /// Answers checks until the program ends.
 pub async fn listen(context: Rc<Context>, listener: Async<TcpListener>, form: Form) {
@@ -49,13 +52,25 @@
     format!("up {weight}%\n")
 }
 
+/// The body of a call that has one.
+fn body<'a>(target: &str, bytes: &'a [u8]) -> Result<Option<&'a [u8]>, http::Malformed> {
+    match target.starts_with(change_orders::FOLDER) {
+        true => http::request_body(bytes),
+        false => Ok(Some(&[])),
+    }
+}
+
 async fn page(context: &Rc<Context>, bytes: &[u8], form: &Form) -> Option<Vec<u8>> {
     Some(match http::request_head(bytes) {
         Ok(None) => return None,
         Err(e) => http::answer(400, "Bad Request", e.0),
         Ok(Some((method, target, _))) if matches!(form, Form::Operators(_)) => {
             let Form::Operators(on) = form else { return None };
-            operators::answer(on, method, target).await
+            match body(target, bytes) {
+                Ok(None) => return None,
+                Ok(Some(body)) => operators::answer(on, method, target, body).await,
+                Err(e) => http::answer(400, "Bad Request", &format!("{}\n", e.0)),
+            }
         }
         Ok(Some((method, _, _))) if method != "GET" && method != "HEAD" => {
             http::answer(405, "Method Not Allowed", "GET or HEAD\n")
@@ -89,7 +104,8 @@
         Form::Http => "health",
         Form::Operators(_) => "operator",
     };
-    let mut wire = Wire::new(stream, kind, address, BOUNDS);
+    let bounds = if matches!(form, Form::Operators(_)) { OPERATORS } else { BOUNDS };
+    let mut wire = Wire::new(stream, kind, address, bounds);
     if Rc::strong_count(&open) > MOST + 1 {
         wire.reason = Reason::Bound;
         return;
--- a/crates/lichenrudder/src/boxes.rs
+++ b/crates/lichenrudder/src/boxes.rs
@@ -8,6 +8,7 @@
 use config::{Target, Targets};
 use dispatch::Attempt;
 use oxbowhill::interface::{ListNews, NodeId, NodeState};
+use std::borrow::Cow;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::{Rc, Weak};
@@ -29,13 +30,16 @@
     module: Module,
     bans: Rc<Bans>,
     peers: RefCell<BTreeMap<NodeId, Peer>>,
+    /// Boxes by the word of changes of configuration: it counts, whatever the list says of them.
+    over: RefCell<BTreeMap<NodeId, Target>>,
     own: Weak<Boxes>,
 }
 
 impl Boxes {
     /// No boxes yet.
     pub fn new(context: Rc<Context>, module: Module, bans: Rc<Bans>) -> Rc<Boxes> {
-        Rc::new_cyclic(|own| Boxes { context, module, bans, peers: RefCell::default(), own: own.clone() })
+        let (peers, over) = (RefCell::default(), RefCell::default());
+        Rc::new_cyclic(|own| Boxes { context, module, bans, peers, over, own: own.clone() })
     }
 
     /// How many there are.
@@ -73,6 +77,7 @@
     /// A message of discovery, as it counts for this front. Peers first: what the module has started and they have not
     /// must know of a drain.
     pub fn news(&self, targets: &Targets) -> ListNews {
+        let targets = &*self.lay_over(targets);
         self.update(&targets.targets, targets.whole);
         let entries = targets.targets.iter().map(|target| {
             self.bans.remember(&target.entry.node);
@@ -84,6 +89,26 @@
         }
     }
 
+    /// A message of discovery, with what counts in its place.
+    fn lay_over<'a>(&self, targets: &'a Targets) -> Cow<'a, Targets> {
+        let over = self.over.borrow();
+        if over.is_empty() {
+            return Cow::Borrowed(targets);
+        }
+        let mut targets = targets.clone();
+        targets.targets.retain(|target| !over.contains_key(&target.entry.node));
+        targets.targets.extend(over.values().cloned());
+        Cow::Owned(targets)
+    }
+
+    /// These boxes are by the word of changes from now on, and these others as they are given here.
+    pub async fn put(&self, over: BTreeMap<NodeId, Target>, changed: &[Target]) {
+        self.over.replace(over);
+        changed.iter().for_each(|target| self.bans.remember(&target.entry.node));
+        self.update(changed, false);
+        self.apply().await;
+    }
+
     /// Puts in force what is taken out now: attempts that still wait for a connection first, then the module.
     pub async fn apply(&self) {
         let mut entries = Vec::new();
--- /dev/null
+++ b/crates/lichenrudder/src/change_orders.rs
@@ -0,0 +1,212 @@
+//! Operators' calls about changes of configuration.
+use crate::changing::Changing;
+use crate::in_force::bytes;
+use accord::changes::{Query, State, Told};
+use accord::{Call, ToAccord};
+use async_io::Timer;
+use changes::{Class, Key, Order, Put, Refusal, Topic, Where};
+use fleet::Index;
+use futures_lite::future;
+use serde::Deserialize;
+use serde_json::{json, Value};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Where these calls are.
+pub const FOLDER: &str = "/v1/changes";
+/// A caller is answered within this time, whatever the hosts do.
+const PATIENCE: Duration = Duration::from_millis(1_700);
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct OrderIn {
+    class: ClassIn,
+    puts: Vec<PutIn>,
+}
+
+#[derive(Clone, Copy, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum ClassIn {
+    Configuration,
+    Primary,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct PutIn {
+    topic: String,
+    name: String,
+    value: Value,
+}
+
+fn topic(text: &str) -> Option<Topic> {
+    match text.split_once('/') {
+        None if text == "fleet" => Some(Topic::Fleet),
+        Some(("region", of)) => Some(Topic::Region(of.into())),
+        Some(("zone", of)) => Some(Topic::Zone(of.into())),
+        Some(("shard", of)) => of.parse().ok().map(Topic::Shard),
+        Some(("volume", of)) => Some(Topic::Volume(of.into())),
+        _ => None,
+    }
+}
+
+/// An order from a body; else the key at fault.
+fn read(body: &[u8]) -> Result<Order, String> {
+    let mut json = serde_json::Deserializer::from_slice(body);
+    let read: OrderIn =
+        serde_path_to_error::deserialize(&mut json).map_err(|e| format!("{}: {}", e.path(), e.inner()))?;
+    let class = match read.class {
+        ClassIn::Configuration => Class::Configuration,
+        ClassIn::Primary => Class::Primary,
+    };
+    let mut order = Order::default();
+    for (i, put) in read.puts.into_iter().enumerate() {
+        let Some(topic) = topic(&put.topic) else {
+            return Err(format!("puts[{i}].topic: must be fleet, region/R, zone/Z, shard/N or volume/V"));
+        };
+        if !put.value.is_object() && !put.value.is_null() {
+            return Err(format!("puts[{i}].value: must be an object, or null to withdraw it"));
+        }
+        let value = (!put.value.is_null()).then(|| bytes(&put.value));
+        order.puts.push(Put { class, key: Key::new(topic, &put.name), value });
+    }
+    order.check().map_err(|fault| fault.to_string())?;
+    Ok(order)
+}
+
+/// The answer to a call under the folder.
+pub async fn answer(
+    changing: Option<&Changing>,
+    accord: Option<&accord::Handle>,
+    method: &str,
+    target: &str,
+    body: &[u8],
+) -> Vec<u8> {
+    let Some(changing) = changing else {
+        return http::answer(404, "Not Found", "changes: not in the configuration\n");
+    };
+    let rest = target.strip_prefix(FOLDER).unwrap_or_default();
+    match (method, rest.strip_prefix('/').filter(|n| !n.is_empty()), accord) {
+        ("POST", None, Some(accord)) if changing.votes => order(accord, body).await,
+        ("POST", None, _) => {
+            let what = if changing.handle.control() { "a relay" } else { "a front" };
+            let why =
+                format!("this is {what} and has no vote: order where [accord] and changes.listen are\n");
+            http::answer(409, "Conflict", &why)
+        }
+        ("GET", None, _) => ask(changing, Query::State).await,
+        ("GET", Some(version), _) => match version.parse() {
+            Ok(version) => ask(changing, Query::Where(Index(version))).await,
+            Err(_) => http::answer(400, "Bad Request", "version: must be a number\n"),
+        },
+        _ => http::answer(405, "Method Not Allowed", "GET the state, POST what changes it\n"),
+    }
+}
+
+async fn within<T>(answer: impl std::future::Future<Output = Option<T>>) -> Option<T> {
+    let late = async {
+        Timer::after(PATIENCE).await;
+        None
+    };
+    future::or(answer, late).await
+}
+
+async fn order(accord: &accord::Handle, body: &[u8]) -> Vec<u8> {
+    let order = match read(body) {
+        Ok(order) => order,
+        Err(why) => return http::answer(400, "Bad Request", &format!("{why}\n")),
+    };
+    let (to, from) = async_channel::bounded(1);
+    if !accord.tell(ToAccord::Call(Call::Change(order), to)) {
+        return http::answer(503, "Service Unavailable", "too many calls wait\n");
+    }
+    match within(async { from.recv().await.ok() }).await {
+        Some(accord::Told::Yes(version)) => http::answer(200, "OK", &format!("{{\"version\":{version}}}\n")),
+        Some(accord::Told::Unknown(why)) => http::answer(400, "Bad Request", &why),
+        Some(accord::Told::No(why)) => http::answer(409, "Conflict", &why),
+        Some(accord::Told::Late(_)) | None => {
+            let why = "no majority of the voters could be reached: it may come yet; ordering it again does no harm\n";
+            http::answer(503, "Service Unavailable", why)
+        }
+    }
+}
+
+async fn ask(changing: &Changing, query: Query) -> Vec<u8> {
+    let (to, from) = async_channel::bounded(1);
+    let asked = changing.handle.ask(query, to);
+    match within(async { from.recv().await.ok().filter(|_| asked) }).await {
+        Some(Told::Where(told)) => http::answer(200, "OK", &format!("{}\n", not_yet(&told))),
+        Some(Told::State(told)) => {
+            http::answer(200, "OK", &format!("{}\n", state(&told, changing.passed_over())))
+        }
+        Some(Told::Elsewhere(relays)) => {
+            let why = format!("this is a front and knows of no others: ask {}\n", relays.join(" or "));
+            http::answer(409, "Conflict", &why)
+        }
+        None => http::answer(503, "Service Unavailable", "no answer in time\n"),
+    }
+}
+
+fn refusal(refusal: &Refusal) -> Value {
+    json!({ "key": refusal.key.to_string(), "version": refusal.version.0, "why": refusal.why })
+}
+
+fn not_yet(told: &Where) -> Value {
+    let lag = |lag: &changes::Lag| json!({ "front": lag.front, "owes": lag.owes.0, "why": lag.why });
+    let refused = |(front, told): &(Arc<str>, Refusal)| {
+        let mut value = refusal(told);
+        value["front"] = json!(front);
+        value
+    };
+    json!({
+        "everywhere": told.everywhere,
+        "fronts": told.fronts,
+        "lags": told.lags.iter().map(lag).collect::<Vec<_>>(),
+        "more": told.more,
+        "relays_behind": told.relays,
+        "relays_silent": told.silent,
+        "refused": told.refused.iter().map(refused).collect::<Vec<_>>(),
+        "refusing": told.refusing,
+    })
+}
+
+fn state(told: &State, passed_over: u64) -> Value {
+    let counts: serde_json::Map<String, Value> =
+        told.counts.iter().map(|(what, count)| (what.to_string(), json!(count))).collect();
+    json!({
+        "role": told.role,
+        "lineage": told.lineage,
+        "upto": told.upto.0,
+        "follows": told.follows.as_ref().map(|relay| &*relay.0),
+        "heard_s": told.heard.map(|span| (span.as_secs_f64() * 1000.0).round() / 1000.0),
+        "refused": told.refused.iter().map(refusal).collect::<Vec<_>>(),
+        "passed_over": passed_over,
+        "counts": counts,
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn an_order_is_understood_or_refused_with_its_key() {
+        let good = br#"{"class":"primary","puts":[{"topic":"shard/3","name":"box","value":{"a":1}},
+            {"topic":"zone/z","name":"settings","value":null}]}"#;
+        let order = read(good).unwrap();
+        assert_eq!(order.puts[0].key, Key::new(Topic::Shard(3), "box"));
+        assert_eq!((order.puts[0].class, order.puts[1].value.clone()), (Class::Primary, None));
+        for (body, key) in [
+            (r#"{"class":"fast","puts":[]}"#, "class"),
+            (r#"{"class":"primary","puts":[]}"#, "order"),
+            (r#"{"class":"primary","puts":[{"topic":"hall/x","name":"a","value":{}}]}"#, "puts[0].topic"),
+            (r#"{"class":"primary","puts":[{"topic":"fleet","name":"a","value":7}]}"#, "puts[0].value"),
+            (r#"{"class":"primary","puts":[{"topic":"fleet","name":"a"}]}"#, "puts[0]"),
+            (r#"{"class":"primary","puts":[{"topic":"fleet","name":"","value":null}]}"#, "fleet/"),
+            (r#"{"class":"primary","by":1}"#, "by"),
+        ] {
+            let why = read(body.as_bytes()).unwrap_err();
+            assert!(why.starts_with(key), "{body}: {why}");
+        }
+    }
+}
--- a/crates/lichenrudder/src/fellows.rs
+++ b/crates/lichenrudder/src/fellows.rs
@@ -61,18 +61,23 @@
 }
 
 /// A number drawn by chance: two stores must never have the same.
-fn chance() -> u64 {
+pub fn chance() -> u64 {
     use std::hash::{BuildHasher, Hasher, RandomState};
     RandomState::new().build_hasher().finish() | 1
 }
 
 /// Starts the hosts, where the configuration has them; an error names the key.
-pub fn start(context: &Rc<Context>, module: &Module, boxes: &Rc<Boxes>) -> Result<Option<Handle>, String> {
+pub fn start(
+    context: &Rc<Context>,
+    module: &Module,
+    boxes: &Rc<Boxes>,
+    serves: Option<accord::changes::Mailbox>,
+) -> Result<Option<Handle>, String> {
     let config = context.config();
     let Some(section) = &config.accord else { return Ok(None) };
     let (to_front, letters) = async_channel::bounded(LETTERS);
     let log = |line: &str| crate::log::line(format_args!("{line}"));
-    let handle = accord::start(settings(context, section)?, to_front, log)?;
+    let handle = accord::start(settings(context, section)?, to_front, serves, log)?;
     context.executor.spawn(follow(context.clone(), boxes.clone(), letters)).detach();
     let measuring = measure(context.clone(), module.clone(), boxes.clone(), handle.clone());
     context.executor.spawn(measuring).detach();
--- a/crates/lichenrudder/src/operators.rs
+++ b/crates/lichenrudder/src/operators.rs
@@ -2,6 +2,8 @@
 //! and taking a disk box out or putting it back.
 use crate::bans::Bans;
 use crate::boxes::Boxes;
+use crate::change_orders;
+use crate::changing::Changing;
 use crate::context::Context;
 use crate::gathering::Gathering;
 use crate::mail::{Mail, Module};
@@ -29,16 +31,22 @@
     pub bans: Rc<Bans>,
     /// The hosts of what fronts settle among themselves, where there are any.
     pub accord: Option<accord::Handle>,
+    /// What is in force of changes of configuration, where any come.
+    pub changing: Option<Rc<Changing>>,
     /// Answers that are gathered from parts, where there are any.
     pub gathering: Option<Gathering>,
 }
 
 /// The answer to one call.
-pub async fn answer(on: &Operators, method: &str, target: &str) -> Vec<u8> {
+pub async fn answer(on: &Operators, method: &str, target: &str, body: &[u8]) -> Vec<u8> {
     let context = &on.context;
     if target.starts_with(orders::FOLDER) {
         return orders::answer(on.accord.as_ref(), method, target).await;
     }
+    if target.starts_with(change_orders::FOLDER) {
+        let changing = on.changing.as_deref();
+        return change_orders::answer(changing, on.accord.as_ref(), method, target, body).await;
+    }
     let target = target.split('?').next().unwrap_or_default();
     let call = target.strip_prefix(FOLDER).and_then(|rest| rest.rsplit_once('/'));
     match (method, target, call) {
--- a/crates/lichenrudder/src/start.rs
+++ b/crates/lichenrudder/src/start.rs
@@ -8,7 +8,7 @@
 use crate::operators::Operators;
 use crate::seats::Seats;
 use crate::stop::Running;
-use crate::{fellows, files, gathering_actor, handover, iscsi_front, list, module, platform};
+use crate::{changing, fellows, files, gathering_actor, handover, iscsi_front, list, module, platform};
 use async_channel::Receiver;
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
@@ -48,7 +48,15 @@
     let context = Context::new(config);
     let bans = Rc::new(Bans::default());
     let boxes = Boxes::new(context.clone(), module.clone(), bans.clone());
-    let on = Operators { context: context.clone(), module, boxes, bans, accord: None, gathering: None };
+    let on = Operators {
+        context: context.clone(),
+        module,
+        boxes,
+        bans,
+        accord: None,
+        changing: None,
+        gathering: None,
+    };
     async_io::block_on(context.executor.run(serve(on, inbox)))
 }
 
@@ -74,6 +82,7 @@
         boxes: boxes.clone(),
         watch: watch.clone(),
         accord: None,
+        changing: None,
     };
     let cached = |news| match news {
         ListNews::Full(entries) => ListNews::Cached(entries),
@@ -85,8 +94,15 @@
     let actor = list::run(context.clone(), module.clone(), boxes.clone(), asked);
     context.executor.spawn(actor).detach();
     context.life.serving.set(!config.known.targets.is_empty());
-    on.accord = fellows::start(&context, &module, &boxes)?;
+    let mailbox = changing::mailbox(&config);
+    let voter = mailbox.as_ref().filter(|_| config.accord.is_some());
+    on.accord = fellows::start(&context, &module, &boxes, voter.map(accord::changes::Mailbox::for_the_log))?;
     running.accord = on.accord.clone();
+    on.changing = match mailbox {
+        Some(mailbox) => Some(changing::start(&on, mailbox).await?),
+        None => None,
+    };
+    running.changing = on.changing.clone();
     if let Some((gathering, inbox)) = Gathering::new(&config) {
         let (context, boxes) = (context.clone(), boxes.clone());
         let actor = gathering_actor::run(context.clone(), module.clone(), boxes, gathering.clone(), inbox);
--- a/crates/lichenrudder/src/stop.rs
+++ b/crates/lichenrudder/src/stop.rs
@@ -1,5 +1,6 @@
 //! While the program serves, signals are followed; after SIGTERM it ends once all is answered.
 use crate::boxes::Boxes;
+use crate::changing::Changing;
 use crate::context::Context;
 use crate::mail::{Ask, Mail, Module};
 use async_channel::Sender;
@@ -32,6 +33,8 @@
     pub watch: Sender<Ask>,
     /// The hosts of what fronts settle among themselves, where there are any.
     pub accord: Option<accord::Handle>,
+    /// What is in force of changes of configuration, where any come.
+    pub changing: Option<Rc<Changing>>,
 }
 
 impl Running {
@@ -41,7 +44,8 @@
         let context = &self.context;
         let old = context.config();
         let (accepted, invalid) = context.tallies.reloads.get();
-        let (new, kept) = match old.reload(|key| std::env::var(key).ok()) {
+        let over = self.changing.as_ref().map(|c| c.settings()).unwrap_or_default();
+        let (new, kept) = match old.reload_under(|key| std::env::var(key).ok(), &over) {
             Ok(read) => read,
             Err(e) => {
                 crate::log::line(format_args!("reload error={e}"));
@@ -61,6 +65,9 @@
         if let (Some(accord), Some(keys)) = (&self.accord, keys(&new).filter(|k| Some(*k) != keys(&old))) {
             accord.rekey(keys);
         }
+        if let Some(changing) = &self.changing {
+            changing.rekey(&old, &new);
+        }
         context.configure(new);
         context.tallies.reloads.set((accepted + 1, invalid));
         if fixed {
--- a/crates/lichenrudder/tests/configuration.rs
+++ b/crates/lichenrudder/tests/configuration.rs
@@ -72,6 +72,16 @@
     assert!(run(&["config", "check", file]).status.success());
 }
 
+#[rstest]
+#[case("changes-voter.toml")]
+#[case("changes-relay.toml")]
+#[case("changes-front.toml")]
+fn the_files_of_changes_pass_the_check(#[case] file: &str) {
+    let file = format!("{}/../../deploy/{file}", env!("CARGO_MANIFEST_DIR"));
+    let run = Command::new(env!("CARGO_BIN_EXE_lichenrudder")).args(["config", "check", &file]).output();
+    assert!(run.unwrap().status.success());
+}
+
 #[test]
 fn without_a_configuration_it_does_not_start() {
     let output = Command::new(env!("CARGO_BIN_EXE_lichenrudder")).env_remove("GW_CONFIG").output().unwrap();
