--- a/crates/accord/src/changes/settings.rs
+++ b/crates/accord/src/changes/settings.rs
@@ -33,6 +33,8 @@
     pub role: Role,
     /// Whom it follows, in the order of preference.
     pub relays: Vec<Upstream>,
+    /// Control machines that it knows of: nothing counts as being everywhere until each of them has told.
+    pub expects: Vec<MemberId>,
     /// The key that signs, and another one that is accepted.
     pub keys: ([u8; 32], Option<[u8; 32]>),
     /// Bounds and spans.
--- a/crates/accord/src/changes/start.rs
+++ b/crates/accord/src/changes/start.rs
@@ -92,7 +92,12 @@
         let executor = Rc::new(LocalExecutor::new());
         let machine = settings.machine.clone();
         let most = machine.most + BESIDE;
-        let relay = listener.is_some().then(|| Relay::new(machine, &me.0, Catalogue::new(0), now));
+        let relay = listener.is_some().then(|| {
+            let mut relay = Relay::new(machine, &me.0, Catalogue::new(0), now);
+            relay.number(u64::try_from(unix().as_micros()).unwrap_or(u64::MAX));
+            relay.expect_reports(settings.expects.iter().map(|name| name.0.clone()));
+            relay
+        });
         if let Some(listener) = listener {
             let (next, on) = (Cell::new(0), shared.clone());
             let take = move |stream| {
--- a/crates/accord/src/changes/subscriber.rs
+++ b/crates/accord/src/changes/subscriber.rs
@@ -27,9 +27,7 @@
 
     /// The call that is followed.
     pub(super) fn followed(&self) -> Option<u64> {
-        let follows = self.subscriber.as_ref().is_some_and(|s| s.alone().is_none());
-        // All others are closed once one is followed.
-        self.calls.keys().next().copied().filter(|_| follows && self.calls.len() == 1)
+        self.subscriber.as_ref().and_then(|s| s.follows())
     }
 
     pub(super) fn up(&mut self, call: u64, out: Out) {
@@ -140,5 +138,7 @@
         if held.lineage() == catalogue.lineage() && held.upto() > catalogue.applied() {
             catalogue.pass(held.upto());
         }
+        // Subscribers are told how old what they hear is.
+        relay.set_alone(subscriber.alone());
     }
 }
--- a/crates/changes/src/catalogue.rs
+++ b/crates/changes/src/catalogue.rs
@@ -1,8 +1,11 @@
 //! What the log of changes comes to: of each key the newest value. Any two that have applied the same hold the same.
+mod pieces;
+
 use crate::digest::part;
 use crate::names::{Change, Class, Key, Order, Topic};
 use crate::scope::Scope;
 use fleet::Index;
+pub(crate) use pieces::Place;
 use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Bound;
 use std::sync::Arc;
@@ -180,34 +183,6 @@
         Change { version, class: self.class(key), key: key.clone(), value }
     }
 
-    /// A piece of all that a scope holds, after a key: values of at most so many bytes, one at least; and the key after which
-    /// the next one begins.
-    pub fn piece(&self, scope: &Scope, after: Option<&Key>, most: usize) -> (Vec<Change>, Option<Key>) {
-        let (mut changes, mut bytes) = (vec![], 0);
-        let from = after.map_or(Bound::Unbounded, |key| Bound::Included(&key.topic));
-        for (topic, shelf) in self.topics.range::<Topic, _>((from, Bound::Unbounded)) {
-            if !scope.holds(topic) {
-                continue;
-            }
-            let name = after.filter(|key| key.topic == *topic).map(|key| key.name.clone());
-            let names = (name.as_ref().map_or(Bound::Unbounded, Bound::Excluded), Bound::Unbounded);
-            for (name, entry) in shelf.entries.range::<Arc<str>, _>(names) {
-                if entry.value.is_none() {
-                    continue;
-                }
-                let key = Key { topic: topic.clone(), name: name.clone() };
-                let change = self.change(entry.version, &key);
-                bytes += change.bytes();
-                if bytes > most && !changes.is_empty() {
-                    let last = changes.last().map(|c: &Change| c.key.clone());
-                    return (changes, last);
-                }
-                changes.push(change);
-            }
-        }
-        (changes, None)
-    }
-
     /// The sum over what a scope holds, withdrawn keys left out.
     pub fn sum(&self, scope: &Scope) -> u64 {
         let withdrawn = self.withdrawn.iter().filter(|(_, key)| scope.holds(&key.topic));
--- a/crates/changes/src/lib.rs
+++ b/crates/changes/src/lib.rs
@@ -31,7 +31,7 @@
 pub use names::{Change, Class, Fault, Key, Order, Put, Topic, NAME, ORDER, VALUE};
 pub use relay::{Cut, Relay, RelayAction, RelayEvent, RelayFigures};
 pub use report::{Fleet, Lag, Report, Where, WORST};
-pub use scope::Scope;
+pub use scope::{Scope, TOPICS};
 pub use settings::Settings;
 pub use stored::StoredFault;
 pub use subscriber::{Action, Event, Figures, Held, Subscriber};
--- a/crates/changes/src/message.rs
+++ b/crates/changes/src/message.rs
@@ -4,6 +4,10 @@
 use crate::scope::Scope;
 use fleet::Index;
 use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// So much is told of why, in characters.
+pub(crate) const WHY: usize = 200;
 
 /// A value that a subscriber can't take.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -16,6 +20,13 @@
     pub why: String,
 }
 
+impl Refusal {
+    /// Whether it is as long as a subscriber's may be.
+    pub(crate) fn bounded(&self) -> bool {
+        self.key.bounded() && self.why.len() <= 4 * WHY
+    }
+}
+
 /// From a subscriber to its relay.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ToRelay {
@@ -77,6 +88,8 @@
         upto: Index,
         /// Now and then, the sum over all that the scope holds.
         sum: Option<u64>,
+        /// For how long the relay itself has heard nothing of the log; none while it hears of it.
+        alone: Option<Duration>,
     },
     /// To relays: where changes are in force, as all others told.
     Fleet(Vec<Report>),
--- a/crates/changes/src/names.rs
+++ b/crates/changes/src/names.rs
@@ -40,6 +40,10 @@
     pub fn new(topic: Topic, name: &str) -> Key {
         Key { topic, name: name.into() }
     }
+
+    pub(crate) fn bounded(&self) -> bool {
+        self.topic.bounded() && self.name.len() <= NAME
+    }
 }
 
 impl fmt::Display for Key {
@@ -83,6 +87,24 @@
     }
 }
 
+impl Topic {
+    /// Whether its name has a proper length.
+    pub(crate) fn bounded(&self) -> bool {
+        match self {
+            Topic::Fleet | Topic::Shard(_) => true,
+            Topic::Region(of) | Topic::Zone(of) | Topic::Volume(of) => of.len() <= NAME,
+        }
+    }
+}
+
+impl Change {
+    /// Whether its names and its value are no longer than an order's may be.
+    pub(crate) fn bounded(&self) -> bool {
+        let value = self.value.as_ref().is_none_or(|v| v.len() <= VALUE);
+        value && self.key.bounded()
+    }
+}
+
 /// One value that an order puts, or withdraws.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Put {
--- a/crates/changes/src/relay.rs
+++ b/crates/changes/src/relay.rs
@@ -1,103 +1,22 @@
 //! One that serves a catalogue: a voter, or a relay without a vote.
+mod event;
 mod flush;
 mod reports;
 mod subscribe;
 mod subscription;
 
+pub use event::{Cut, RelayAction, RelayEvent, RelayFigures};
+
 use crate::admission::Admission;
 use crate::catalogue::Catalogue;
-use crate::message::{FromRelay, ToRelay};
 use crate::names::{Change, Class};
-use crate::report::{Fleet, Report};
+use crate::report::Fleet;
 use crate::settings::Settings;
 use fleet::{Index, Time};
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 use subscription::{State, Subscription};
 
-/// What comes in.
-#[derive(Clone, Debug)]
-pub enum RelayEvent {
-    /// Time has passed.
-    Tick,
-    /// Somebody has connected.
-    Joined {
-        /// The connection's number, never used again.
-        link: u64,
-        /// By its sealed name.
-        name: Arc<str>,
-    },
-    /// A connection has ended.
-    Left {
-        /// Which.
-        link: u64,
-    },
-    /// A message has come.
-    Message {
-        /// On which connection.
-        link: u64,
-        /// What it says.
-        message: ToRelay,
-    },
-    /// The catalogue has changed, by what the log or the relay above told.
-    Applied(Vec<Change>),
-    /// Reports of other control machines.
-    Reports(Vec<Report>),
-}
-
-/// Why a connection is to be closed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Cut {
-    /// It was told to come later.
-    Later,
-    /// It did not answer in time.
-    Slow,
-    /// What it said makes no sense.
-    Bad,
-    /// Another connection of the same name has come.
-    Replaced,
-}
-
-/// What is to be done.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum RelayAction {
-    /// Send a message.
-    Send {
-        /// On which connection.
-        link: u64,
-        /// What.
-        message: FromRelay,
-    },
-    /// Close a connection, once what was sent is out.
-    Close {
-        /// Which.
-        link: u64,
-        /// Why.
-        why: Cut,
-    },
-    /// Tell the other control machines: reports that are new.
-    Reports(Vec<Report>),
-}
-
-/// What was done and turned down.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct RelayFigures {
-    /// Subscriptions that were admitted.
-    pub admitted: u64,
-    /// Those told to come later.
-    pub later: u64,
-    /// Messages of changes.
-    pub changes: u64,
-    /// Pieces of snapshots.
-    pub pieces: u64,
-    /// Subscribers cut off because they were slow.
-    pub slow: u64,
-    /// Subscribers that were behind too far and were given a snapshot.
-    pub behind: u64,
-    /// Messages that made no sense: they changed nothing.
-    pub bad: u64,
-}
-
 /// The state of one that serves.
 #[derive(Debug)]
 pub struct Relay {
@@ -112,6 +31,10 @@
     pieces: VecDeque<u64>,
     fleet: Fleet,
     reported: Time,
+    /// The number of the last report.
+    number: u64,
+    /// Since when it hears nothing of the log.
+    alone: Option<Time>,
     figures: RelayFigures,
 }
 
@@ -131,21 +54,43 @@
             pieces: VecDeque::new(),
             fleet: Fleet::default(),
             reported: now,
+            number: 0,
+            alone: None,
             figures: RelayFigures::default(),
         }
     }
 
+    /// Numbers its reports from there on: above those of any earlier run, such as the microseconds of the wall clock.
+    pub fn number(&mut self, from: u64) {
+        self.number = from;
+    }
+
+    /// Since when nothing is heard of the log: [`crate::Subscriber::alone`] of its own, or what a voter knows. Subscribers are told.
+    pub fn set_alone(&mut self, since: Option<Time>) {
+        self.alone = since;
+    }
+
+    /// Names all control machines: until each has told, nothing counts as being everywhere.
+    pub fn expect_reports(&mut self, relays: impl IntoIterator<Item = Arc<str>>) {
+        self.fleet.expect_reports(relays);
+    }
+
     /// Takes in an event and appends what is to be done.
     pub fn handle(&mut self, now: Time, event: RelayEvent, out: &mut Vec<RelayAction>) {
+        // What one subscriber says is no reason to look at all others.
+        let only = match &event {
+            RelayEvent::Message { link, .. } => Some(*link),
+            _ => None,
+        };
         match event {
             RelayEvent::Tick => {}
             RelayEvent::Joined { link, name } => self.joined(now, link, name, out),
             RelayEvent::Left { link } => self.left(link),
             RelayEvent::Message { link, message } => self.message(now, link, message, out),
             RelayEvent::Applied(changes) => self.applied(now, &changes),
-            RelayEvent::Reports(reports) => self.reports(now, reports, out),
+            RelayEvent::Reports(reports) => self.reports(now, reports),
         }
-        self.flush(now, out);
+        self.flush(now, only, out);
         self.report(now, out);
     }
 
--- a/crates/changes/src/relay/reports.rs
+++ b/crates/changes/src/relay/reports.rs
@@ -16,29 +16,34 @@
         if now.since(self.reported) < self.settings.report {
             return;
         }
-        self.reported = now;
+        (self.reported, self.number) = (now, self.number.saturating_add(1));
         self.fleet.forget(now, FORGET);
         let report = self.own_report(now);
         self.fleet.take(now, report.clone());
         out.push(RelayAction::Reports(vec![report]));
-        let all: Vec<Report> = self.fleet.all().cloned().collect();
-        for (link, s) in
-            self.links.iter_mut().filter(|(_, s)| s.scope == Scope::Everything && s.state == State::Live)
+        // What is old is not told again: to whoever hears it, it would be new.
+        let all: Vec<Report> = self.fleet.recent(now, self.settings.report * 2).cloned().collect();
+        for (link, _) in
+            self.links.iter().filter(|(_, s)| s.scope == Scope::Everything && s.state == State::Live)
         {
-            s.told = now;
             out.push(RelayAction::Send { link: *link, message: FromRelay::Fleet(all.clone()) });
         }
     }
 
-    pub(super) fn reports(&mut self, now: Time, reports: Vec<Report>, out: &mut Vec<RelayAction>) {
-        let mut fresh = vec![];
+    /// What others tell is not told again: each report is handed on once, by the one that it was told to.
+    pub(super) fn reports(&mut self, now: Time, reports: Vec<Report>) {
         for report in reports {
-            if *report.relay != *self.name && self.fleet.take(now, report.clone()) {
-                fresh.push(report);
+            match *report.relay != *self.name && report.bounded() {
+                true => drop(self.fleet.take(now, report)),
+                false => self.figures.bad += u64::from(!report.bounded()),
             }
         }
-        if !fresh.is_empty() {
-            out.push(RelayAction::Reports(fresh));
+    }
+
+    /// A relay that follows this one has told of its fronts.
+    pub(super) fn hand_on(&mut self, now: Time, report: Report, out: &mut Vec<RelayAction>) {
+        if *report.relay != *self.name && self.fleet.take(now, report.clone()) {
+            out.push(RelayAction::Reports(vec![report]));
         }
     }
 
@@ -55,6 +60,7 @@
         let refused = refusing.iter().flat_map(|s| s.refused.iter().map(|r| (s.name.clone(), r.clone())));
         Report {
             relay: self.name.clone(),
+            number: self.number,
             applied: self.applied_to(),
             fronts: fronts().count() as u32,
             behind: behind.len() as u32,
--- a/crates/changes/src/relay/subscribe.rs
+++ b/crates/changes/src/relay/subscribe.rs
@@ -22,12 +22,11 @@
             ToRelay::Decided { upto, refused } => self.decided(now, link, upto, refused, out),
             ToRelay::Next => self.next(now, link, out),
             ToRelay::Report(report) => {
-                let relay = self
-                    .links
-                    .get(&link)
-                    .is_some_and(|s| s.scope == Scope::Everything && *s.name == *report.relay);
-                match relay {
-                    true => self.reports(now, vec![report], out),
+                let relay = self.links.get(&link).is_some_and(|s| {
+                    s.state != State::Fresh && s.scope == Scope::Everything && *s.name == *report.relay
+                });
+                match relay && report.bounded() {
+                    true => self.hand_on(now, report, out),
                     false => self.bad(link, out),
                 }
             }
@@ -48,16 +47,21 @@
         from: Index,
         out: &mut Vec<RelayAction>,
     ) {
+        if !scope.proper() {
+            return self.bad(link, out);
+        }
         let own = self.catalogue.lineage();
+        let from = if lineage == own { from } else { Index(0) };
         // Of an older log, or of this one from a version that is told one by one still: only what came since.
-        let since = match lineage == own && from > Index(0) {
+        let since = match from > Index(0) {
             true => self.catalogue.since(&scope, from, self.settings.message),
             false => Since::Snapshot,
         };
         let bytes = BESIDE
             + match &since {
                 Since::Changes(changes) => changes.iter().map(|c| c.bytes()).sum(),
-                Since::Snapshot => self.settings.piece,
+                // Its pieces take tokens themselves.
+                Since::Snapshot => 0,
             };
         let served = self.links.values().filter(|s| s.state != State::Fresh).count();
         let again = self.links.get(&link).is_some_and(|s| s.state != State::Fresh);
@@ -95,7 +99,7 @@
     pub(super) fn snapshot(&mut self, link: u64) {
         let base = self.applied_to();
         if let Some(s) = self.links.get_mut(&link) {
-            s.state = State::Snapshot { base, after: None, out: false };
+            s.state = State::Snapshot { base, after: None, late: None, out: false };
             (s.out, s.waits) = (None, None);
             self.pieces.push_back(link);
         }
@@ -121,14 +125,20 @@
         out: &mut Vec<RelayAction>,
     ) {
         let Some(s) = self.links.get_mut(&link) else { return };
-        if refused.len() > WORST || s.state == State::Fresh || upto > s.sent {
+        let live = s.state == State::Live;
+        if refused.len() > WORST
+            || !refused.iter().all(Refusal::bounded)
+            || s.state == State::Fresh
+            || (live && upto > s.sent)
+        {
             return self.bad(link, out);
         }
-        (s.refused, s.since) = (refused, now);
+        s.refused = refused;
+        // Only what answers a message is an answer: others don't make one that is slow quicker.
         if s.out.is_some_and(|(_, sent)| sent <= upto) {
-            s.out = None;
+            (s.out, s.since) = (None, now);
         }
-        if s.state == State::Live {
+        if live {
             s.owes = self.catalogue.next(&s.scope, upto).map(|(version, _)| version);
         }
     }
--- a/crates/changes/src/relay/subscription.rs
+++ b/crates/changes/src/relay/subscription.rs
@@ -1,4 +1,5 @@
 //! What a relay knows of one subscriber. Nothing is queued for it: what it is sent follows from its scope and version.
+use crate::catalogue::Place;
 use crate::message::Refusal;
 use crate::names::Key;
 use crate::scope::Scope;
@@ -21,6 +22,8 @@
         base: Index,
         /// After which key the next piece begins; none for the first.
         after: Option<Key>,
+        /// Once all keys were walked: up to which place in the log it was sent what has changed meanwhile.
+        late: Option<Place>,
         /// Whether a piece is out that was not answered yet.
         out: bool,
     },
@@ -69,6 +72,10 @@
     }
 
     pub fn owe(&mut self, now: Time, version: Index, ahead: bool) {
+        // A relay that was behind its subscriber has now come to what that one holds already.
+        if self.state == State::Live && version <= self.sent {
+            return;
+        }
         self.owes.get_or_insert(version);
         let (since, before) = self.waits.unwrap_or((now, false));
         self.waits = Some((since, before || ahead));
@@ -81,12 +88,14 @@
 
     /// When something is due for it.
     pub fn due(&self, settings: &Settings) -> Time {
+        let far = Time(u64::MAX);
         let answer = self.awaited().then(|| self.since + settings.patience);
         let waits = self.waits.filter(|_| self.state == State::Live && self.out.is_none());
         let waits = waits.map(|(since, ahead)| if ahead { since } else { since + settings.batch });
         let quiet = self.state == State::Live && self.out.is_none();
-        let alive = quiet.then(|| (self.told + settings.alive).min(self.summed + SUM));
-        let far = Time(u64::MAX);
+        let sum = if quiet { self.summed + SUM } else { far };
+        // Also one that waits for its turn, or that takes long to decide, hears that the relay is there.
+        let alive = (self.state != State::Fresh).then(|| (self.told + settings.alive).min(sum));
         [answer, waits, alive].into_iter().flatten().fold(far, Time::min)
     }
 }
--- a/crates/changes/src/report.rs
+++ b/crates/changes/src/report.rs
@@ -1,8 +1,9 @@
 //! Where changes are in force, in reports whose size does not grow with the fleet.
-use crate::message::Refusal;
+use crate::message::{Refusal, WHY};
+use crate::names::NAME;
 use fleet::{Index, Time};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -25,6 +26,8 @@
 pub struct Report {
     /// The relay.
     pub relay: Arc<str>,
+    /// Its number: a relay's later ones have greater ones. Others count for nothing.
+    pub number: u64,
     /// Up to where it holds everything itself.
     pub applied: Index,
     /// The fronts that it serves.
@@ -40,6 +43,16 @@
 }
 
 impl Report {
+    /// Whether it is as long as a relay's may be.
+    pub(crate) fn bounded(&self) -> bool {
+        let named = |name: &str| name.len() <= 4 * NAME;
+        named(&self.relay)
+            && self.worst.len() <= WORST
+            && self.worst.iter().all(|lag| named(&lag.front) && lag.why.len() <= 4 * WHY)
+            && self.refused.len() <= WORST
+            && self.refused.iter().all(|(front, r)| named(front) && r.bounded())
+    }
+
     /// Whether everything up to that version is decided on by all fronts of the relay.
     pub fn settled(&self, version: Index) -> bool {
         self.applied >= version && self.worst.first().is_none_or(|lag| lag.owes > version)
@@ -50,6 +63,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
     reports: BTreeMap<Arc<str>, (Report, Time)>,
+    expected: BTreeSet<Arc<str>>,
 }
 
 /// Where a version is not in force yet, and why.
@@ -77,14 +91,22 @@
     /// Relays that are forgotten only beyond this number.
     const RELAYS: usize = 256;
 
-    /// Takes in a relay's report; tells whether it says anything new.
+    /// Names those of whom reports are expected: who has not told is silent.
+    pub fn expect_reports(&mut self, relays: impl IntoIterator<Item = Arc<str>>) {
+        self.expected = relays.into_iter().collect();
+    }
+
+    /// Takes in a relay's report; tells whether it is a later one. One told again is not: it may be old.
     pub fn take(&mut self, now: Time, report: Report) -> bool {
+        if self.reports.get(&report.relay).is_some_and(|(held, _)| held.number >= report.number) {
+            return false;
+        }
         if self.reports.len() >= Fleet::RELAYS && !self.reports.contains_key(&report.relay) {
             let oldest = self.reports.iter().min_by_key(|(_, (_, at))| *at).map(|(relay, _)| relay.clone());
             oldest.into_iter().for_each(|relay| drop(self.reports.remove(&relay)));
         }
-        let before = self.reports.insert(report.relay.clone(), (report.clone(), now));
-        before.is_none_or(|(before, _)| before != report)
+        self.reports.insert(report.relay.clone(), (report, now));
+        true
     }
 
     /// All reports.
@@ -92,6 +114,12 @@
         self.reports.values().map(|(report, _)| report)
     }
 
+    /// Reports that came not longer ago than that.
+    pub fn recent(&self, now: Time, within: Duration) -> impl Iterator<Item = &Report> {
+        let recent = self.reports.values().filter(move |(_, at)| now.since(*at) <= within);
+        recent.map(|(report, _)| report)
+    }
+
     /// Drops what has not been told for so long.
     pub fn forget(&mut self, now: Time, after: Duration) {
         self.reports.retain(|_, (_, at)| now.since(*at) < after);
@@ -117,6 +145,8 @@
             answer.refused.extend(report.refused.iter().filter(|(_, r)| r.version == version).cloned());
             answer.everywhere &= report.settled(version);
         }
+        let unheard = self.expected.iter().filter(|relay| !self.reports.contains_key(*relay));
+        answer.silent.extend(unheard.cloned());
         answer.everywhere &= answer.silent.is_empty();
         answer
     }
--- a/crates/changes/src/stored.rs
+++ b/crates/changes/src/stored.rs
@@ -1,6 +1,7 @@
 //! What a front keeps on its disk: all that it holds of its scope, as of a version.
 use crate::message::Refusal;
 use crate::names::Change;
+use crate::scope::Scope;
 use fleet::Index;
 use serde::{Deserialize, Serialize};
 use std::fmt;
@@ -32,10 +33,14 @@
 }
 
 /// What is stored.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Stored {
     pub lineage: u64,
+    /// Of which scope it is all.
+    pub scope: Scope,
     pub upto: Index,
+    /// The greatest that `upto` ever was.
+    pub highest: Index,
     pub entries: Vec<Change>,
     pub refused: Vec<Refusal>,
 }
@@ -66,5 +71,10 @@
     if xxh3_64(&bytes[..bytes.len() - 8]) != u64::from_be_bytes(*sum) {
         return Err(StoredFault::Torn);
     }
-    postcard::from_bytes(body).map_err(|_| StoredFault::Torn)
+    let stored: Stored = postcard::from_bytes(body).map_err(|_| StoredFault::Torn)?;
+    let proper = |c: &Change| c.version <= stored.highest && c.value.is_some() && c.bounded();
+    match stored.entries.iter().all(proper) {
+        true => Ok(stored),
+        false => Err(StoredFault::Torn),
+    }
 }
--- a/crates/changes/src/subscriber.rs
+++ b/crates/changes/src/subscriber.rs
@@ -1,102 +1,25 @@
 //! One that follows the changes in its scope: a front, or a relay without a vote, whose scope is everything.
 mod calls;
 mod decide;
+mod event;
 mod follow;
 mod held;
 
+pub use event::{Action, Event, Figures};
 pub use held::Held;
 
-use crate::message::{FromRelay, ToRelay};
-use crate::names::{Change, Key};
+use crate::message::FromRelay;
 use crate::scope::Scope;
 use crate::stored::{decode, StoredFault};
-use backoff::{Caller, Failure, Law};
+use backoff::{Caller, Law};
 use decide::Deciding;
 use fleet::{Index, Time};
 use follow::Staging;
+use std::collections::VecDeque;
+use std::time::Duration;
 
-/// What comes in.
-#[derive(Clone, Debug)]
-pub enum Event {
-    /// Time has passed.
-    Tick,
-    /// A connection that was asked for is up.
-    Up {
-        /// The call.
-        call: u64,
-    },
-    /// A call has failed, or its connection has ended.
-    Down {
-        /// The call.
-        call: u64,
-        /// What that tells.
-        failure: Failure,
-    },
-    /// A message has come on a connection.
-    Message {
-        /// The call.
-        call: u64,
-        /// What it says.
-        message: FromRelay,
-    },
-    /// What was to be decided is in force whole, or nothing of it is: then these keys are at fault, and why.
-    Decided {
-        /// Empty where it is in force.
-        refused: Vec<(Key, String)>,
-    },
-}
-
-/// What is to be done.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Action {
-    /// Connect to a relay, by its place in the order of preference.
-    Connect {
-        /// The number of this call.
-        call: u64,
-        /// Which relay.
-        relay: usize,
-    },
-    /// Close the connection of a call, or give it up.
-    Close {
-        /// The call.
-        call: u64,
-    },
-    /// Send a message.
-    Send {
-        /// On which connection.
-        call: u64,
-        /// What.
-        message: ToRelay,
-    },
-    /// Put these in force together or none of them, and tell [`Event::Decided`]. Nothing else is to be decided until then.
-    Decide {
-        /// Whether they are all that there is: what they leave out is withdrawn.
-        whole: bool,
-        /// Newer than what is held. A value of none is withdrawn.
-        changes: Vec<Change>,
-    },
-    /// Write this to the disk in place of what was kept; the last one wins.
-    Keep(Vec<u8>),
-}
-
-/// What was done and turned down.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Figures {
-    /// Changes put in force.
-    pub taken: u64,
-    /// Changes refused by the front.
-    pub refused: u64,
-    /// Snapshots put in force.
-    pub snapshots: u64,
-    /// Digests that found something missed.
-    pub missed: u64,
-    /// Messages that were malformed, out of turn, or older than what is held: they changed nothing.
-    pub bad: u64,
-    /// Relays that follow another log.
-    pub foreign: u64,
-    /// Calls for a relay.
-    pub calls: u64,
-}
+/// What is held is written down so often at most: that costs by all that is held, and a change by its own size only.
+const KEEP: Duration = Duration::from_secs(5);
 
 /// The state of one that follows.
 #[derive(Debug)]
@@ -106,19 +29,30 @@
     caller: Caller,
     /// Calls that failed since a relay was last up: each goes to the next in the order of preference.
     passed: usize,
-    /// Calls whose connection is up or coming up.
-    calls: Vec<u64>,
+    /// Calls whose connection is up or coming up, and which relay each goes to.
+    calls: Vec<(u64, usize)>,
     /// The call whose relay is followed.
     follows: Option<u64>,
     heard: Time,
+    /// Since when the relay hears nothing of the log, as it told last.
+    relay_alone: Option<Time>,
     held: Held,
+    /// From where it asked last: what is being decided may have gone on since.
+    from: Index,
     /// The log of the relay that is followed.
     lineage: u64,
     staging: Option<Staging>,
     deciding: Option<Deciding>,
     /// What came while something was decided.
-    waiting: Option<(u64, FromRelay)>,
+    waiting: VecDeque<(u64, FromRelay)>,
+    /// It has asked anew on the connection that it follows: until that is answered nothing on it counts.
+    asked: bool,
+    /// Another scope has come while something was decided.
+    rescoped: bool,
     keeps: bool,
+    /// Something was decided that was not written down yet.
+    unkept: bool,
+    kept: Option<Time>,
     figures: Figures,
 }
 
@@ -132,7 +66,7 @@
         kept: Option<&[u8]>,
     ) -> (Subscriber, Option<StoredFault>) {
         let (held, fault) = match kept.map(decode) {
-            Some(Ok(stored)) => (Held::from(stored), None),
+            Some(Ok(stored)) => (Held::kept(stored, &scope), None),
             Some(Err(fault)) => (Held::default(), Some(fault)),
             None => (Held::default(), None),
         };
@@ -147,12 +81,18 @@
             calls: vec![],
             follows: None,
             heard: now,
+            relay_alone: None,
+            from: Index(0),
             lineage: held.lineage(),
             held,
             staging: None,
             deciding: None,
-            waiting: None,
+            waiting: VecDeque::new(),
+            asked: false,
+            rescoped: false,
             keeps,
+            unkept: false,
+            kept: None,
             figures: Figures::default(),
         };
         (subscriber, fault)
@@ -160,9 +100,19 @@
 
     /// When it wants to be told of the time.
     pub fn wake(&self) -> Option<Time> {
-        match self.follows {
+        let next = match self.follows {
             Some(_) => Some(Time(self.heard.0.saturating_add(backoff::LIVENESS as u64))),
             None => self.caller.due().map(|due| Time(due.max(0) as u64)),
+        };
+        let keep = self.unkept.then(|| self.kept.map_or(self.heard, |kept| kept + KEEP));
+        [next, keep].into_iter().flatten().min()
+    }
+
+    /// Writes down what is held, where that is due.
+    fn keep(&mut self, now: Time, out: &mut Vec<Action>) {
+        if self.unkept && self.kept.is_none_or(|kept| now.since(kept) >= KEEP) {
+            (self.unkept, self.kept) = (false, Some(now));
+            out.push(Action::Keep(self.held.store(&self.scope)));
         }
     }
 
@@ -176,6 +126,7 @@
             Event::Decided { refused } => self.answered(now, refused, out),
         }
         self.time(now, out);
+        self.keep(now, out);
     }
 
     /// What it holds.
@@ -183,9 +134,15 @@
         &self.held
     }
 
-    /// Since when nothing was heard of a relay; none while one is followed.
+    /// Since when nothing was heard of the log: no relay is followed, or it hears nothing itself. None while all is well.
     pub fn alone(&self) -> Option<Time> {
-        self.follows.is_none().then_some(self.heard)
+        let own = self.follows.is_none().then_some(self.heard);
+        self.relay_alone.or(own)
+    }
+
+    /// The call whose relay is followed.
+    pub fn follows(&self) -> Option<u64> {
+        self.follows
     }
 
     /// What was done and turned down.
@@ -207,8 +164,10 @@
         if scope != self.scope {
             self.scope = scope;
             self.held.rewind();
+            self.rescoped = self.deciding.is_some();
             self.staging = None;
             if let Some(call) = self.follows {
+                self.asked = true;
                 self.subscribe(call, out);
             }
         }
--- a/crates/changes/src/subscriber/calls.rs
+++ b/crates/changes/src/subscriber/calls.rs
@@ -16,47 +16,55 @@
         if self.caller.due().is_some_and(|due| due <= now.0 as i64) && self.follows.is_none() {
             let made = self.caller.call(now.0 as i64);
             if let Some(number) = made.instead_of {
-                self.calls.retain(|call| *call != number);
+                self.calls.retain(|(call, _)| *call != number);
                 out.push(Action::Close { call: number });
             }
-            self.calls.push(made.number);
+            let relay = (self.passed + self.calls.len()) % self.relays;
+            self.calls.push((made.number, relay));
             self.figures.calls += 1;
-            let relay = (self.passed + self.calls.len() - 1) % self.relays;
             out.push(Action::Connect { call: made.number, relay });
         }
     }
 
+    /// The relay that a call goes to, where it is up or coming up.
+    pub(super) fn relay_of(&self, call: u64) -> Option<usize> {
+        self.calls.iter().find(|(number, _)| *number == call).map(|(_, relay)| *relay)
+    }
+
     pub(super) fn up(&mut self, call: u64, out: &mut Vec<Action>) {
-        if self.calls.contains(&call) {
+        if self.relay_of(call).is_some() {
             self.subscribe(call, out);
         }
     }
 
     pub(super) fn subscribe(&mut self, call: u64, out: &mut Vec<Action>) {
         let (lineage, scope, from) = (self.held.lineage(), self.scope.clone(), self.place());
+        self.from = from;
         out.push(Action::Send { call, message: ToRelay::Subscribe { lineage, scope, from } });
     }
 
     pub(super) fn down(&mut self, now: Time, call: u64, failure: Failure) {
         if self.follows == Some(call) {
             // What came in part counts for nothing; what is being decided goes on.
-            (self.follows, self.staging) = (None, None);
-            self.passed += usize::from(failure == Failure::Silent);
+            (self.follows, self.staging, self.asked) = (None, None, false);
+            // Whatever ended it, another relay is the one to ask: the clock has no room for two pauses.
+            self.passed = self.relay_of(call).unwrap_or(0) + 1;
             self.caller.ended(now.0 as i64, failure);
-        } else if self.calls.contains(&call) {
+        } else if self.relay_of(call).is_some() {
             self.passed += 1;
             self.caller.failed(now.0 as i64, call, failure);
         }
-        self.calls.retain(|number| *number != call);
+        self.calls.retain(|(number, _)| *number != call);
+        self.waiting.retain(|(number, _)| *number != call);
     }
 
     /// A relay has taken this one on: all other calls are given up.
     pub(super) fn follow(&mut self, now: Time, call: u64, out: &mut Vec<Action>) {
         self.caller.up(now.0 as i64);
         (self.follows, self.staging) = (Some(call), None);
-        for number in self.calls.iter().filter(|number| **number != call) {
+        for (number, _) in self.calls.iter().filter(|(number, _)| *number != call) {
             out.push(Action::Close { call: *number });
         }
-        self.calls.retain(|number| *number == call);
+        self.calls.retain(|(number, _)| *number == call);
     }
 }
--- a/crates/changes/src/subscriber/held.rs
+++ b/crates/changes/src/subscriber/held.rs
@@ -1,11 +1,12 @@
 //! What a subscriber holds: the newest of each key, in force or refused.
 use crate::digest::part;
-use crate::message::Refusal;
+use crate::message::{Refusal, WHY};
 use crate::names::{Change, Key};
 use crate::report::WORST;
+use crate::scope::Scope;
 use crate::stored::{encode, Stored};
 use fleet::Index;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 #[derive(Clone, Debug)]
@@ -31,7 +32,8 @@
     highest: Index,
     values: BTreeMap<Key, Value>,
     sum: u64,
-    refusing: usize,
+    /// Keys whose newest value was refused.
+    refusing: BTreeSet<Key>,
 }
 
 impl Held {
@@ -73,9 +75,9 @@
 
     /// What was refused and is still the newest, and why: so many at most.
     pub fn refused(&self) -> Vec<Refusal> {
-        let refused = self.values.values().filter(|_| self.refusing > 0).filter_map(|v| v.refused.as_ref());
+        let refused = self.refusing.iter().filter_map(|key| self.values.get(key)?.refused.as_ref());
         let told = |(change, why): &(Change, String)| {
-            let why = why.chars().take(200).collect();
+            let why = why.chars().take(WHY).collect();
             Refusal { key: change.key.clone(), version: change.version, why }
         };
         refused.map(told).take(WORST).collect()
@@ -112,12 +114,14 @@
         let key = change.key.clone();
         self.toggle(&key);
         let value = self.values.entry(key.clone()).or_insert(Value { force: None, refused: None });
-        self.refusing -= usize::from(value.refused.is_some());
         match why {
             Some(why) => value.refused = Some((change, why)),
             None => *value = Value { force: Some(change), refused: None },
         }
-        self.refusing += usize::from(value.refused.is_some());
+        match value.refused.is_some() {
+            true => drop(self.refusing.insert(key.clone())),
+            false => drop(self.refusing.remove(&key)),
+        }
         if value.refused.is_none() && value.force.as_ref().is_none_or(|c| c.value.is_none()) {
             self.values.remove(&key);
         }
@@ -125,19 +129,39 @@
     }
 
     /// Keys that a whole snapshot leaves out are held no more.
-    pub(crate) fn begin(&mut self, lineage: u64) -> Held {
-        std::mem::replace(self, Held { lineage, ..Held::default() })
+    pub(crate) fn begin(&mut self, lineage: u64) {
+        let highest = if lineage == self.lineage { self.highest } else { Index(0) };
+        *self = Held { lineage, highest, ..Held::default() };
+    }
+
+    /// What is in force of a key, to stay so in a snapshot of a log. A value of another log is older than all of this one.
+    pub(crate) fn stays(&self, key: &Key, lineage: u64) -> Option<Change> {
+        let mut force = self.values.get(key)?.force.clone()?;
+        force.version = if lineage == self.lineage { force.version } else { Index(0) };
+        Some(force)
     }
 
-    /// The force of a key before, where the newest was refused.
-    pub(crate) fn keep(&mut self, key: &Key, before: &Held) {
-        let force = before.values.get(key).and_then(|v| v.force.clone());
-        if let (Some(force), Some(value)) = (force, self.values.get_mut(key)) {
-            value.force = value.force.take().or(Some(force));
+    /// Drops what lies outside of a scope.
+    fn narrow(&mut self, scope: &Scope) {
+        let outside: Vec<Key> = self.values.keys().filter(|key| !scope.holds(&key.topic)).cloned().collect();
+        for key in outside {
+            self.toggle(&key);
+            self.values.remove(&key);
         }
     }
 
-    pub(crate) fn store(&self) -> Vec<u8> {
+    /// From what was kept, for the scope as it is now. What was refused is asked for again, for the program may have learned to
+    /// take it; and all of the scope, where that was another one.
+    pub(crate) fn kept(stored: Stored, scope: &Scope) -> Held {
+        let mut held = Held { lineage: stored.lineage, highest: stored.highest, ..Held::default() };
+        let whole = stored.refused.is_empty() && stored.scope == *scope;
+        held.upto = if whole { stored.upto } else { Index(0) };
+        stored.entries.into_iter().for_each(|change| held.put(change, None));
+        held.narrow(scope);
+        held
+    }
+
+    pub(crate) fn store(&self, scope: &Scope) -> Vec<u8> {
         let refused = self.values.values().filter_map(|v| v.refused.as_ref());
         let refused = refused.map(|(change, why)| Refusal {
             key: change.key.clone(),
@@ -146,20 +170,11 @@
         });
         encode(&Stored {
             lineage: self.lineage,
+            scope: scope.clone(),
             upto: self.upto,
+            highest: self.highest,
             entries: self.changes(),
             refused: refused.collect(),
         })
     }
 }
-
-impl From<Stored> for Held {
-    fn from(stored: Stored) -> Held {
-        let mut held = Held { lineage: stored.lineage, ..Held::default() };
-        // What was refused is asked for again: the program may have learned to take it.
-        held.highest = stored.upto;
-        held.upto = if stored.refused.is_empty() { stored.upto } else { Index(0) };
-        stored.entries.into_iter().for_each(|change| held.put(change, None));
-        held
-    }
-}
--- a/crates/lichenrudder/src/changing.rs
+++ b/crates/lichenrudder/src/changing.rs
@@ -63,9 +63,12 @@
         admission: (section.admission_bytes_s, section.admission_bytes_s),
         ..changes::Settings::default()
     };
+    let voters = config.accord.iter().flat_map(|accord| &accord.members).map(|member| &member.name);
+    let expects = voters.chain(section.relays.iter().map(|relay| &relay.name));
     Ok(Settings {
         me: MemberId(config.name.as_str().into()),
         role,
+        expects: expects.map(|name| MemberId(name.as_str().into())).collect(),
         relays: in_order(&config.name, &section.relays),
         keys: section.keys().map_err(|e| e.to_string())?,
         machine,
