Put a change in force at a front at a cost by its own size: settings and a shard's box

A change of settings read the whole file again, list and all (config::put_under), and a shard's box was told to the module with all others (Boxes::put). Settings are laid over what the file was understood to say, the list is shared, and read again only where zones are new; a box is told alone, and where discovery is not heard the module is told that too, so that it goes on taking care.

--- a/crates/config/src/environment.rs
+++ b/crates/config/src/environment.rs
@@ -7,7 +7,8 @@
 /// Reads the configuration that the environment names.
 pub fn from_env(var: impl Fn(&str) -> Option<String>) -> Result<Config, Fault> {
     let (path, text) = file(&var)?;
-    under(var, (&path, &text), &[])
+    let config = under(var, (&path, &text), &[])?;
+    Ok(Config { source: config.source.filter(|_| config.changes.is_some()), ..config })
 }
 
 /// The name and the text of the file.
@@ -24,7 +25,11 @@
     (path, text): (&str, &str),
     over: &[Value],
 ) -> Result<Config, Fault> {
-    let mut config = read_under(path, text, over)?;
+    named(var, read_under(path, text, over)?)
+}
+
+/// The configuration, with what the environment names in the place of what the file does.
+pub(crate) fn named(var: impl Fn(&str) -> Option<String>, mut config: Config) -> Result<Config, Fault> {
     if let Some(name) = var("GW_NAME") {
         config.name = name;
     }
--- a/crates/config/src/file.rs
+++ b/crates/config/src/file.rs
@@ -28,8 +28,6 @@
     pub limits: Limits,
     #[serde(default)]
     pub clients: Clients,
-    #[serde(default)]
-    pub known: Option<Value>,
     pub settings: Value,
     #[serde(default)]
     pub agent: Option<Listen>,
@@ -116,20 +114,30 @@
     }
 }
 
+/// A file that was understood and not checked yet.
+#[derive(Debug)]
+pub(crate) struct Source {
+    /// Its name, and its text.
+    pub file: (String, String),
+    /// What it says but for the list.
+    pub bare: Value,
+    shape: Shape,
+}
+
 /// Reads and checks a file's text: TOML where the name ends so, else JSON.
 pub fn read(name: &str, text: &str) -> Result<Config, Fault> {
-    read_under(name, text, &[])
+    let config = read_under(name, text, &[])?;
+    Ok(Config { source: config.source.filter(|_| config.changes.is_some()), ..config })
 }
 
 /// The same, with these settings laid over the file's own, one after the other.
 pub(crate) fn read_under(name: &str, text: &str, over: &[Value]) -> Result<Config, Fault> {
-    let value: Value = if name.ends_with(".toml") {
+    let mut value: Value = if name.ends_with(".toml") {
         toml::from_str(text).map_err(|e| Fault { key: name.into(), reason: e.to_string() })?
     } else {
         serde_json::from_str(text).map_err(|e| Fault { key: name.into(), reason: e.to_string() })?
     };
     // The platform's file may grow keys, the operator's is checked to the letter.
-    let mut value = value;
     let mut shape = Shape::default();
     if !name.ends_with(".toml") {
         shape = Shape::of(&value);
@@ -137,6 +145,24 @@
             object.retain(|k, _| PLATFORM_KEYS.contains(&k.as_str()));
         }
     }
+    let list = value.as_object_mut().and_then(|object| object.remove("known"));
+    let source = Source { file: (name.into(), text.into()), bare: value, shape };
+    build(Arc::new(source), over, list.map(List::Said).unwrap_or(List::None))
+}
+
+/// The list beside the rest of a file.
+pub(crate) enum List {
+    /// There is none.
+    None,
+    /// As the file says it.
+    Said(Value),
+    /// As it was understood before, for the same zones.
+    Understood(Arc<Targets>),
+}
+
+/// A configuration from what a file says, with these settings laid over its own, one after the other.
+pub(crate) fn build(source: Arc<Source>, over: &[Value], list: List) -> Result<Config, Fault> {
+    let (name, mut value) = (source.file.0.as_str(), source.bare.clone());
     // The shape is the file's own: what lies over it comes and goes.
     if let Some(settings) = value.get_mut("settings") {
         over.iter().for_each(|over| lay_over(settings, over));
@@ -170,10 +196,12 @@
         Some(hex) => u64::from_str_radix(hex, 16)
             .map_err(|_| Fault { key: "seed".into(), reason: format!("{hex:?} is not a hex number") })?,
     };
-    let known = match &file.known {
-        None => Targets { generation: 0, whole: true, targets: vec![] },
-        Some(list) => targets(list.to_string().as_bytes(), &names.zones)
+    let known = match list {
+        List::None => Arc::new(Targets { generation: 0, whole: true, targets: vec![] }),
+        List::Said(list) => targets(list.to_string().as_bytes(), &names.zones)
+            .map(Arc::new)
             .map_err(|e| Fault { key: format!("known.{}", e.key), reason: e.reason })?,
+        List::Understood(list) => list,
     };
     check(name, &file, &classes, &plans, &known, &names.zones, settings.hosts)?;
     gathers::check(&file.gather, &gathers::Beside::of(&file, &classes, &names.zones, shards))?;
@@ -199,10 +227,10 @@
         admin: file.admin,
         iscsi: file.iscsi,
         accord: file.accord,
-        source: file.changes.is_some().then(|| Arc::new((name.into(), text.into()))),
+        shape: source.shape.clone(),
+        source: Some(source),
         changes: file.changes,
         gathers: file.gather.into_iter().map(Arc::new).collect(),
-        shape,
     })
 }
 
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -26,6 +26,7 @@
 pub use write::application;
 
 use fault::fault;
+use file::Source;
 use oxbowhill::interface::{Micros, Settings};
 use shape::Shape;
 use std::collections::BTreeSet;
@@ -50,7 +51,7 @@
     /// How long clients' connections are waited for.
     pub clients: Clients,
     /// The list as this front last had it, or the fixed one.
-    pub known: Targets,
+    pub known: Arc<Targets>,
     /// What the module is told.
     pub settings: Settings,
     /// Classes, in the order of the settings.
@@ -77,8 +78,8 @@
     pub accord: Option<Accord>,
     /// How changes of configuration come.
     pub changes: Option<Changes>,
-    /// The name and the text of the file, where changes may be laid over it.
-    source: Option<Arc<(String, String)>>,
+    /// The file, where changes may be laid over it.
+    source: Option<Arc<Source>>,
     /// Answers that are gathered from parts.
     pub gathers: Vec<Arc<gather::Policy>>,
     /// The keys that a file of the platform had; a later one must have them too.
--- a/crates/config/src/reload.rs
+++ b/crates/config/src/reload.rs
@@ -1,4 +1,5 @@
 //! A later file in the place of the one in force.
+use crate::file::{build, List};
 use crate::{environment, fault, gathers, iscsi, Accord, Changes, Class, Config, Fault};
 use serde_json::Value;
 use std::collections::BTreeSet;
@@ -61,24 +62,33 @@
         over: &[Value],
     ) -> Result<(Config, Vec<&'static str>), Fault> {
         let (path, text) = environment::file(&var)?;
-        self.replaced(var, (&path, &text), over)
+        let named = |key: &str| if key == "GW_DISCOVERY" { None } else { var(key) };
+        let new = environment::under(named, (&path, &text), over)?;
+        self.replaced(var, new, true)
     }
 
-    /// The file in force, with other settings laid over its own: read and checked as another file would be.
+    /// The file in force, with other settings laid over its own: checked as another file would be. The list is not read
+    /// again, so the work is by what the settings hold, unless they name other zones.
     pub fn put_under(&self, var: impl Fn(&str) -> Option<String>, over: &[Value]) -> Result<Config, Fault> {
         let Some(source) = &self.source else { return fault("changes", "is not in the configuration") };
-        Ok(self.replaced(var, (&source.0, &source.1), over)?.0)
+        let named = |key: &str| if key == "GW_DISCOVERY" { None } else { var(key) };
+        let new = build(source.clone(), over, List::Understood(self.known.clone()))?;
+        let new = environment::named(named, new)?;
+        if new.zones.iter().all(|zone| self.zones.contains(zone)) {
+            return Ok(self.replaced(var, new, false)?.0);
+        }
+        let new = environment::under(named, (&source.file.0, &source.file.1), over)?;
+        Ok(self.replaced(var, new, true)?.0)
     }
 
+    /// A configuration in this one's place; whether its list is of its own zones, rather than of these.
     fn replaced(
         &self,
         var: impl Fn(&str) -> Option<String>,
-        file: (&str, &str),
-        over: &[Value],
+        mut new: Config,
+        listed: bool,
     ) -> Result<(Config, Vec<&'static str>), Fault> {
-        let named = |key: &str| if key == "GW_DISCOVERY" { None } else { var(key) };
-        let mut new = environment::under(named, file, over)?;
-        new.source = self.source.as_ref().map(|_| Arc::new((file.0.into(), file.1.into())));
+        new.source = new.source.filter(|_| self.source.is_some());
         // Guards the settings in force against a file that was cut or lost a section: what has a default elsewhere, such
         // as the rule on cold boxes, would be off.
         if let Some(key) = self.shape.missing_in(&new.shape) {
@@ -114,9 +124,11 @@
         new.classes = placed(&classes, &self.classes, &new.classes);
         new.plans = placed(&plans, &self.plans, &new.plans);
         new.retired = (left_out(&classes), left_out(&plans));
-        for target in &mut new.known.targets {
-            let place = zones.iter().position(|z| *z == Some(target.entry.zone as usize));
-            target.entry.zone = place.unwrap_or(zones.len()) as u32;
+        if listed {
+            for target in &mut Arc::make_mut(&mut new.known).targets {
+                let place = zones.iter().position(|z| *z == Some(target.entry.zone as usize));
+                target.entry.zone = place.unwrap_or(zones.len()) as u32;
+            }
         }
         new.zones = placed(&zones, &self.zones, &new.zones);
         let checks = [
--- a/crates/config/tests/changes.rs
+++ b/crates/config/tests/changes.rs
@@ -89,3 +89,50 @@
     let no_section = config::read("x.toml", &config::application("x").unwrap()).unwrap();
     assert_eq!(no_section.put_under(var, &[]).unwrap_err().key, "changes");
 }
+
+/// The quickest of some times that settings are laid over those of a file with so many boxes (µs).
+fn lay_over(boxes: usize) -> f64 {
+    use std::fmt::Write;
+    let mut text = FRONT.to_string();
+    let (mut more, at) = (String::new(), text.find("[settings]").unwrap());
+    for n in 0..boxes {
+        write!(
+            more,
+            "[[known.instances]]\ninstanceId = \"more-{n}\"\nhostPort = \"127.0.0.9:{}\"\n",
+            1024 + n
+        )
+        .unwrap();
+        writeln!(more, "cell = {n}\nlifecycle = \"active\"").unwrap();
+    }
+    text.insert_str(at, &more);
+    let mut config = config::read("front.toml", &text).unwrap();
+    let mut quickest = f64::INFINITY;
+    for n in 1..20 {
+        let over = [json!({"Limits": {"MaxAttempts": 1 + n % 3}})];
+        let since = std::time::Instant::now();
+        config = config.put_under(|_| None, &over).unwrap();
+        quickest = quickest.min(since.elapsed().as_secs_f64() * 1e6);
+        assert_eq!(config.settings.max_attempts, 1 + n % 3);
+        assert!(config.known.targets.len() > boxes, "the list stays");
+    }
+    quickest
+}
+
+#[test]
+fn settings_that_change_cost_the_same_whatever_the_list_holds() {
+    let (few, many) = (lay_over(10), lay_over(8_000));
+    println!("{few:.0} µs with 10 boxes in the file, {many:.0} µs with 8,000");
+    assert!(many < 3.0 * few + 200.0, "{few:.0} and {many:.0} µs");
+}
+
+#[test]
+fn zones_that_come_with_a_change_are_those_of_the_list_too() {
+    let text = FRONT.replace("cell = 0", "zone = \"hall-z\"\ncell = 0");
+    assert_ne!(text, FRONT);
+    let config = config::read("front.toml", &text).unwrap();
+    let mut zones = config.zones.clone();
+    zones.push("hall-z".into());
+    let put = config.put_under(|_| None, &[json!({"Zones": zones})]).unwrap();
+    assert_eq!(put.zones, zones);
+    assert_eq!(put.known.targets[0].entry.zone as usize, zones.len() - 1);
+}
--- a/crates/lichenrudder/src/boxes.rs
+++ b/crates/lichenrudder/src/boxes.rs
@@ -106,7 +106,12 @@
         self.over.replace(over);
         changed.iter().for_each(|target| self.bans.remember(&target.entry.node));
         self.update(changed, false);
-        self.apply().await;
+        let entries = changed.iter().map(|target| self.bans.seen(target.entry.clone())).collect();
+        let _ = self.module.send(Mail::News(ListNews::Delta(entries))).await;
+        // This is no word of discovery: where that is not heard, the module goes on taking care.
+        if self.context.config().discovery.is_some() && !self.context.life.watching.get() {
+            let _ = self.module.send(Mail::News(ListNews::Failed)).await;
+        }
     }
 
     /// Puts in force what is taken out now: attempts that still wait for a connection first, then the module.
--- a/crates/lichenrudder/src/context.rs
+++ b/crates/lichenrudder/src/context.rs
@@ -39,6 +39,8 @@
     pub listening: Cell<bool>,
     /// Whether discovery was heard since the start.
     pub heard: Cell<bool>,
+    /// Whether a watch of discovery is up.
+    pub watching: Cell<bool>,
     /// The other process of this front, while one lives.
     pub other: Cell<Other>,
 }
@@ -101,6 +103,7 @@
             serving: Cell::new(false),
             listening: Cell::new(false),
             heard: Cell::new(false),
+            watching: Cell::new(false),
             other: Cell::new(Other::None),
         };
         Rc::new(Context {
--- a/crates/lichenrudder/src/list.rs
+++ b/crates/lichenrudder/src/list.rs
@@ -116,7 +116,9 @@
             Err(reason) => reason,
             Ok(mut watch) => {
                 self.caller.up(self.context.clock.now().0);
+                self.context.life.watching.set(true);
                 watch.wire.reason = self.follow(&mut watch, asked).await;
+                self.context.life.watching.set(false);
                 watch.wire.reason
             }
         }
