--- a/crates/changes/examples/full_size.rs
+++ b/crates/changes/examples/full_size.rs
@@ -1,4 +1,5 @@
-//! The whole fleet in simulated time: 2,300 fronts, 23,000 boxes, 40 control machines, 5 regions, 12 zones. Prints a table.
+//! The whole fleet in simulated time: 2,300 fronts, 23,000 boxes, 40 control machines, 5 regions, 12 zones. Prints a
+//! table; `SEED=N` draws another day.
 #[path = "../tests/sim/mod.rs"]
 mod sim;
 
@@ -76,7 +77,8 @@
 
 fn main() {
     let size = Size::full();
-    let mut world = World::new(&size, 1, Settings::default(), None);
+    let seed = std::env::var("SEED").ok().and_then(|seed| seed.parse().ok()).unwrap_or(1);
+    let mut world = World::new(&size, seed, Settings::default(), None);
     (world.checks, world.timed) = (false, true);
     world.fill_boxes(&size);
     let mut run = Run { world, size };
