Let one check of names and one reading of the environment serve both of their callers

Found on reading the whole change again: config had the check of names in keys a second time (changes::proper serves it now), the environment without discovery stood twice in reload.rs, and what is kept of a file at the start in two places.

--- a/crates/changes/src/lib.rs
+++ b/crates/changes/src/lib.rs
@@ -28,7 +28,7 @@
 pub use admission::Admission;
 pub use catalogue::{Catalogue, Since};
 pub use message::{FromRelay, Refusal, ToRelay};
-pub use names::{Change, Class, Fault, Key, Order, Put, Topic, NAME, ORDER, VALUE};
+pub use names::{proper, Change, Class, Fault, Key, Order, Put, Topic, NAME, ORDER, VALUE};
 pub use relay::{Cut, Relay, RelayAction, RelayEvent, RelayFigures};
 pub use report::{Fleet, Lag, Report, Where, WORST};
 pub use scope::{Scope, TOPICS};
--- a/crates/changes/src/names.rs
+++ b/crates/changes/src/names.rs
@@ -138,7 +138,8 @@
     }
 }
 
-fn proper(name: &str) -> bool {
+/// Whether a region, a zone, a volume or a key may have that name.
+pub fn proper(name: &str) -> bool {
     (1..=NAME).contains(&name.len()) && !name.chars().any(|c| c.is_control() || c == '/')
 }
 
--- a/crates/config/src/changes.rs
+++ b/crates/config/src/changes.rs
@@ -1,6 +1,7 @@
 //! The section `[changes]` of an operator's file: how changes of configuration reach this machine, and whom it serves with them.
 use crate::accord::keys;
 use crate::{fault, Fault};
+use changes::proper;
 use serde::Deserialize;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -74,11 +75,6 @@
     1e6
 }
 
-/// A name that may stand in a key of the log.
-fn proper(name: &str) -> bool {
-    (1..=64).contains(&name.len()) && !name.chars().any(|c| c.is_control() || c == '/')
-}
-
 impl Changes {
     /// Whether two sections say the same apart from their keys.
     pub fn same_but_keys(one: Option<&Changes>, other: Option<&Changes>) -> bool {
--- a/crates/config/src/environment.rs
+++ b/crates/config/src/environment.rs
@@ -7,8 +7,7 @@
 /// Reads the configuration that the environment names.
 pub fn from_env(var: impl Fn(&str) -> Option<String>) -> Result<Config, Fault> {
     let (path, text) = file(&var)?;
-    let config = under(var, (&path, &text), &[])?;
-    Ok(Config { source: config.source.filter(|_| config.changes.is_some()), ..config })
+    Ok(under(var, (&path, &text), &[])?.begun())
 }
 
 /// The name and the text of the file.
--- a/crates/config/src/file.rs
+++ b/crates/config/src/file.rs
@@ -126,8 +126,7 @@
 
 /// Reads and checks a file's text: TOML where the name ends so, else JSON.
 pub fn read(name: &str, text: &str) -> Result<Config, Fault> {
-    let config = read_under(name, text, &[])?;
-    Ok(Config { source: config.source.filter(|_| config.changes.is_some()), ..config })
+    Ok(read_under(name, text, &[])?.begun())
 }
 
 /// The same, with these settings laid over the file's own, one after the other.
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -87,6 +87,11 @@
 }
 
 impl Config {
+    /// One to start with: what it was read from is kept only where changes may be laid over it.
+    fn begun(self) -> Config {
+        Config { source: self.source.filter(|_| self.changes.is_some()), ..self }
+    }
+
     /// The index of the class that a client may name so.
     pub fn class(&self, name: &str) -> Option<usize> {
         (0..self.classes.len()).find(|i| self.classes[*i].name == name && !self.retired.0.contains(i))
--- a/crates/config/src/reload.rs
+++ b/crates/config/src/reload.rs
@@ -35,6 +35,11 @@
     (0..places.len()).filter(|i| places[*i].is_none()).collect()
 }
 
+/// The environment, with no word on discovery: at a reload the file's counts.
+fn as_the_file_says(var: impl Fn(&str) -> Option<String>) -> impl Fn(&str) -> Option<String> {
+    move |key| if key == "GW_DISCOVERY" { None } else { var(key) }
+}
+
 impl Config {
     /// Sees to it that classes that were known before are of the kind that they had. Guards requests against a list of
     /// kinds (`FamilyInfo.Writes`) that was not renewed when classes came or went: its places are then others'. It counts
@@ -62,8 +67,7 @@
         over: &[Value],
     ) -> Result<(Config, Vec<&'static str>), Fault> {
         let (path, text) = environment::file(&var)?;
-        let named = |key: &str| if key == "GW_DISCOVERY" { None } else { var(key) };
-        let new = environment::under(named, (&path, &text), over)?;
+        let new = environment::under(as_the_file_says(&var), (&path, &text), over)?;
         self.replaced(var, new, true)
     }
 
@@ -71,13 +75,12 @@
     /// again, so the work is by what the settings hold, unless they name other zones.
     pub fn put_under(&self, var: impl Fn(&str) -> Option<String>, over: &[Value]) -> Result<Config, Fault> {
         let Some(source) = &self.source else { return fault("changes", "is not in the configuration") };
-        let named = |key: &str| if key == "GW_DISCOVERY" { None } else { var(key) };
         let new = build(source.clone(), over, List::Understood(self.known.clone()))?;
-        let new = environment::named(named, new)?;
+        let new = environment::named(as_the_file_says(&var), new)?;
         if new.zones.iter().all(|zone| self.zones.contains(zone)) {
             return Ok(self.replaced(var, new, false)?.0);
         }
-        let new = environment::under(named, (&source.file.0, &source.file.1), over)?;
+        let new = environment::under(as_the_file_says(&var), (&source.file.0, &source.file.1), over)?;
         Ok(self.replaced(var, new, true)?.0)
     }
 
