--- /dev/null
+++ b/crates/lichenrudder/tests/persisted.rs
@@ -0,0 +1,59 @@
+//! What a front has taken on outlasts it where its folder does, also when writes fail for a while and when it is killed.
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+mod common;
+use common::server::Server;
+use common::{address, ask, call, config, spawn_as, Program};
+use rig::faults::Faults;
+use std::io::{Read, Write};
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+const SUSPEND: &str = "POST /v1/chunk-servers/box-0/suspend";
+const RESUME: &str = "POST /v1/chunk-servers/box-0/resume";
+
+fn start(ip: &str, folder: &Path, faults: &Faults, calls: &str) -> Program {
+    let program = spawn_as(&config(ip), ip, |command| {
+        faults.fail(command, calls);
+        faults.only_under(command, folder);
+        command.env("TMPDIR", folder);
+    });
+    drop(program.connect(6379));
+    program
+}
+
+/// Whether requests reach the chunk server.
+fn reaches(program: &Program, server: &Server) -> bool {
+    let before = server.arrivals().len();
+    let mut client = program.connect(6379);
+    for n in 0..5 {
+        client.write_all(&ask(n, 300)).unwrap();
+        client.read(&mut [0; 256]).map(drop).unwrap();
+    }
+    server.arrivals().len() > before
+}
+
+/// The folder takes nothing while the operator calls, and is well again for a while before the kill.
+fn a_yes_outlasts_the_kill(calls: &str) {
+    let (ip, faults, folder) = (address(), Faults::build().unwrap(), tempfile::tempdir().unwrap());
+    let server = Server::start(&ip, Duration::ZERO);
+    let mut program = start(&ip, folder.path(), &faults, calls);
+    faults.occur(true).unwrap();
+    let began = Instant::now();
+    let said = call(&ip, 6382, SUSPEND);
+    assert!(began.elapsed() < Duration::from_secs(1), "a caller waits 1 s");
+    assert!(!reaches(&program, &server), "it counts as draining, whatever becomes of the file");
+    faults.occur(false).unwrap();
+    std::thread::sleep(Duration::from_secs(1));
+    program.child.kill().unwrap();
+    program.child.wait().unwrap();
+    let program = start(&ip, folder.path(), &faults, calls);
+    assert!(!reaches(&program, &server), "{calls}: the call was answered {said}");
+    assert_eq!(call(&ip, 6382, RESUME), 200);
+    std::thread::sleep(Duration::from_secs(1));
+    assert!(reaches(&program, &server), "{calls}: it is put back");
+}
+
+#[test]
+fn a_suspended_chunk_server_stays_so_though_the_folder_was_full() {
+    a_yes_outlasts_the_kill("openat=ENOSPC/1 write=ENOSPC/1");
+}
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod clients;
 pub mod discovery;
 pub mod engine;
+pub mod faults;
 pub mod files;
 pub mod fronts;
 pub mod hollow;
