--- a/crates/lichenrudder/src/agent.rs
+++ b/crates/lichenrudder/src/agent.rs
@@ -1,12 +1,15 @@
 //! What balancers ask for: the agent check (a line on connecting, as HAProxy reads it) and HTTP health checks; and
 //! the connections on which operators call.
+use crate::accept::accept;
 use crate::change_orders;
 use crate::context::Context;
 use crate::operators::{self, Operators};
-use crate::wire::{accept, Moved, Reason, Wire};
+use crate::reason::Reason;
+use crate::socket::Socket;
+use crate::wire::{SocketEvent, Wire};
 use async_io::{Async, Timer};
 use futures_lite::{future, StreamExt};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -32,8 +35,8 @@
 /// Answers checks until the program ends.
 pub async fn listen(context: Rc<Context>, listener: Async<TcpListener>, form: Form) {
     let open = Rc::new(());
-    let take = |stream, address| {
-        let check = check(context.clone(), stream, address, form.clone(), open.clone());
+    let take = |socket, address| {
+        let check = check(context.clone(), socket, address, form.clone(), open.clone());
         context.executor.spawn(check).detach();
     };
     accept(listener, || true, async || {}, take, async || future::pending().await).await;
@@ -92,20 +95,14 @@
     })
 }
 
-async fn check(
-    context: Rc<Context>,
-    stream: Async<TcpStream>,
-    address: SocketAddr,
-    form: Form,
-    open: Rc<()>,
-) {
+async fn check(context: Rc<Context>, socket: Socket, address: SocketAddr, form: Form, open: Rc<()>) {
     let kind = match form {
         Form::Agent => "agent",
         Form::Http => "health",
         Form::Operators(_) => "operator",
     };
     let bounds = if matches!(form, Form::Operators(_)) { OPERATORS } else { BOUNDS };
-    let mut wire = Wire::new(stream, kind, address, bounds);
+    let mut wire = Wire::new(socket, kind, address, bounds);
     if Rc::strong_count(&open) > MOST + 1 {
         wire.reason = Reason::Bound;
         return;
@@ -118,17 +115,17 @@
         }
         loop {
             match wire.next().await {
-                Some(Ok(Moved::Wrote)) if answered => return Reason::Done,
-                Some(Ok(Moved::Wrote)) => {}
-                Some(Ok(Moved::Read)) if answered => wire.input.consume(usize::MAX),
-                Some(Ok(Moved::Read)) => {
+                Some(Ok(SocketEvent::Wrote)) if answered => return Reason::Done,
+                Some(Ok(SocketEvent::Wrote)) => {}
+                Some(Ok(SocketEvent::Read)) if answered => wire.input.consume(usize::MAX),
+                Some(Ok(SocketEvent::Read)) => {
                     if let Some(answer) = page(&context, wire.input.contiguous(), &form).await {
                         wire.output.push(&answer);
                         answered = true;
                     }
                 }
-                Some(Ok(Moved::End)) if answered => {}
-                Some(Ok(Moved::End)) | None => return Reason::PeerClosed,
+                Some(Ok(SocketEvent::End)) if answered => {}
+                Some(Ok(SocketEvent::End)) | None => return Reason::PeerClosed,
                 Some(Err(_)) => return Reason::Reset,
             }
         }
--- a/crates/lichenrudder/src/blocks.rs
+++ b/crates/lichenrudder/src/blocks.rs
@@ -2,8 +2,9 @@
 use crate::context::Context;
 use crate::exchange::Exchanged;
 use crate::peer::Work;
+use crate::reason::Reason;
 use crate::value::{Ended, Value};
-use crate::wire::{Moved, Reason, Wire};
+use crate::wire::{SocketEvent, Wire};
 use async_io::Timer;
 use dispatch::{Attempt, Bytes, Extent};
 use futures_lite::{future, StreamExt};
@@ -85,8 +86,8 @@
         }
         let maybe = |ending| if written { ending } else { Ending::ConnectFailed };
         let ending = match moved {
-            Some(Ok(Moved::Wrote)) => continue,
-            Some(Ok(Moved::Read)) => loop {
+            Some(Ok(SocketEvent::Wrote)) => continue,
+            Some(Ok(SocketEvent::Read)) => loop {
                 match session.read(wire.input.contiguous(), &mut out) {
                     Ok((0, _)) => break None,
                     Ok((used, told)) => {
@@ -133,7 +134,7 @@
                     }
                 }
             },
-            Some(Ok(Moved::End)) | Some(Err(_)) => {
+            Some(Ok(SocketEvent::End)) | Some(Err(_)) => {
                 wire.reason = Reason::Reset;
                 Some(maybe(Ending::Reset))
             }
--- a/crates/lichenrudder/src/boxes.rs
+++ b/crates/lichenrudder/src/boxes.rs
@@ -1,6 +1,7 @@
 //! The table of disk boxes: an actor for each that is listed, told what the list says of its box and what was taken out
 //! by hand.
-use crate::bans::Bans;
+use crate::ban_files::Snapshot;
+use crate::bans::{Bans, Change};
 use crate::context::Context;
 use crate::mail::{Mail, Module};
 use crate::peer::{self, PeerMail, Place, Work};
@@ -140,18 +141,20 @@
     }
 
     /// Puts in place what another process of the front has written down; tells whether anything changed.
-    pub fn take_over(&self, read: Option<(i64, BTreeSet<NodeId>)>) -> bool {
+    pub fn take_over(&self, read: Option<Snapshot>) -> bool {
         self.bans.take_over(read)
     }
 
-    /// Takes a box out, or puts it back; no for one that was never listed.
-    pub async fn set(&self, node: &str, out: bool) -> bool {
-        match self.bans.set(&self.context, node, out) {
-            None => return false,
-            Some(changed) if changed => self.apply().await,
-            Some(_) => {}
+    /// Takes a server out, or puts it back. It is in force at once, whether or not that can be written down in time.
+    pub async fn set(&self, node: &str, out: bool) -> Change {
+        let Some(changed) = self.bans.set(&self.context, node, out) else { return Change::Unknown };
+        if changed {
+            self.apply().await;
+        }
+        match self.bans.is_kept().await {
+            true => Change::Kept,
+            false => Change::NotKeptYet,
         }
-        true
     }
 
     /// Starts peers for new entries of the list and tells those that are there.
--- a/crates/lichenrudder/src/connect.rs
+++ b/crates/lichenrudder/src/connect.rs
@@ -1,17 +1,24 @@
 //! New connections to disk boxes, within the descriptors that there are.
 use crate::counts::Count;
 use crate::peer::Work;
-use crate::wire::{Reason, Wire};
+use crate::reason::Reason;
+use crate::wire::Wire;
 use async_io::Timer;
 use dispatch::Attempt;
 use futures_lite::future;
 use iscsi::initiator::Initiator;
 use oxbowhill::interface::{Ending, Micros};
+use rustix::io::Errno;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
 
 /// What a reply holds beside its value: the figures and the report.
 const BESIDE: usize = 4096;
 /// What a command may take: one value and its words.
 const COMMAND: usize = resp::LONGEST + 16 * 1024;
+/// How long a connection waits for its next try where this machine lacks something.
+const LACKING: Duration = Duration::from_millis(10);
 /// How often it is looked whether an attempt may still begin while its connection comes up.
 const LOOK: i64 = 50_000;
 
@@ -50,19 +57,19 @@
         patience => attempt.until.min(Micros(context.clock.now().0 + patience)),
     };
     let bounds = (context.longest_value() + BESIDE, COMMAND);
-    let up = async { Wire::connect("box", address, bounds).await.ok() };
+    let up = async { dial(address, bounds).await.map_err(|_| Unconnected::Failed) };
     let late = async {
         // Looked at while it comes up: nobody waits for a connection over which nothing may be sent any more.
         while work.may_begin(attempt) && life == place.life.get() && context.clock.now() < until {
             let look = Micros(context.clock.now().0 + LOOK).min(until);
             Timer::at(context.clock.instant(look)).await;
         }
-        None
+        Err(if context.clock.now() < until { Unconnected::Abandoned } else { Unconnected::Failed })
     };
     match future::or(up, late).await {
-        Some(wire) => Ok(Connection { wire, session: None, _count: count, since: context.clock.now(), life }),
-        None if context.clock.now() < until => Err(Ending::Moot),
-        None => {
+        Ok(wire) => Ok(Connection { wire, session: None, _count: count, since: context.clock.now(), life }),
+        Err(Unconnected::Abandoned) => Err(Ending::Moot),
+        Err(Unconnected::Failed) => {
             crate::log::line(format_args!(
                 "conn kind=box peer={address} carried=0 reason={}",
                 Reason::ConnectFailed
@@ -71,3 +78,28 @@
         }
     }
 }
+
+/// Why there is no connection.
+enum Unconnected {
+    /// It was refused, or did not come up in time.
+    Failed,
+    /// It may carry nothing any more.
+    Abandoned,
+}
+
+/// Opens a connection. Where this machine lacks something for a moment, which says nothing of the server, it is tried again.
+async fn dial(address: SocketAddr, bounds: (usize, usize)) -> io::Result<Wire> {
+    loop {
+        match Wire::connect("box", address, bounds).await {
+            Err(error) if is_local(&error) => drop(Timer::after(LACKING).await),
+            ended => return ended,
+        }
+    }
+}
+
+/// Whether this machine, and not the server or the way to it, keeps a connection from coming up: descriptors, memory, ports.
+fn is_local(error: &io::Error) -> bool {
+    let Some(error) = Errno::from_io_error(error) else { return false };
+    [Errno::MFILE, Errno::NFILE, Errno::NOBUFS, Errno::NOMEM, Errno::ADDRNOTAVAIL, Errno::AGAIN]
+        .contains(&error)
+}
--- a/crates/lichenrudder/src/exchange.rs
+++ b/crates/lichenrudder/src/exchange.rs
@@ -2,8 +2,9 @@
 use crate::context::Context;
 use crate::counts::Weight;
 use crate::mail::{Mail, Module};
+use crate::reason::Reason;
 use crate::value::{self, Ended, Passing, Value};
-use crate::wire::{Moved, Reason, Wire};
+use crate::wire::{SocketEvent, Wire};
 use crate::words::{command, elsewhere, outcome};
 use async_io::Timer;
 use dispatch::Attempt;
@@ -111,8 +112,8 @@
     };
     let moved = future::or(async { wire.next().await }, late).await;
     wire.reason = match moved {
-        Some(Ok(Moved::Read | Moved::Wrote)) => return true,
-        Some(Ok(Moved::End)) | Some(Err(_)) => Reason::Reset,
+        Some(Ok(SocketEvent::Read | SocketEvent::Wrote)) => return true,
+        Some(Ok(SocketEvent::End)) | Some(Err(_)) => Reason::Reset,
         None => Reason::Protocol,
     };
     false
@@ -153,40 +154,42 @@
             return (Exchanged::Begun { parts: parts - 1, length }, false);
         }
         let ending = match moved {
-            Some(Ok(Moved::Wrote)) => {
+            Some(Ok(SocketEvent::Wrote)) => {
                 context.tallies.relayed();
                 continue;
             }
-            Some(Ok(Moved::Read)) => match resp::reply(wire.input.contiguous(), context.longest_value()) {
-                Ok(None) if room => continue,
-                Ok(Some((reply, used))) => {
-                    let (ending, elsewhere, value) = match outcome(&reply) {
-                        Some(said) if !unsent || said.0 == Ending::Full => said,
-                        // Whatever it answers, it is not this command.
-                        _ if unsent => (Ending::ConnectFailed, 0.0, None),
-                        _ => {
+            Some(Ok(SocketEvent::Read)) => {
+                match resp::reply(wire.input.contiguous(), context.longest_value()) {
+                    Ok(None) if room => continue,
+                    Ok(Some((reply, used))) => {
+                        let (ending, elsewhere, value) = match outcome(&reply) {
+                            Some(said) if !unsent || said.0 == Ending::Full => said,
+                            // Whatever it answers, it is not this command.
+                            _ if unsent => (Ending::ConnectFailed, 0.0, None),
+                            _ => {
+                                wire.reason = Reason::Protocol;
+                                return ended(attempt.ended(Ending::Error), false);
+                            }
+                        };
+                        wire.input.consume(used);
+                        let clean = !unsent && wire.input.is_empty();
+                        if !clean {
                             wire.reason = Reason::Protocol;
-                            return ended(attempt.ended(Ending::Error), false);
                         }
-                    };
-                    wire.input.consume(used);
-                    let clean = !unsent && wire.input.is_empty();
-                    if !clean {
+                        let value = value.map(Value::Whole);
+                        return ended(Ended { elsewhere, value, ..attempt.ended(ending) }, clean);
+                    }
+                    _ => {
                         wire.reason = Reason::Protocol;
+                        // It has run, as far as can be told, and its box is well.
+                        return ended(
+                            attempt.ended(if unsent { Ending::ConnectFailed } else { Ending::Error }),
+                            false,
+                        );
                     }
-                    let value = value.map(Value::Whole);
-                    return ended(Ended { elsewhere, value, ..attempt.ended(ending) }, clean);
-                }
-                _ => {
-                    wire.reason = Reason::Protocol;
-                    // It has run, as far as can be told, and its box is well.
-                    return ended(
-                        attempt.ended(if unsent { Ending::ConnectFailed } else { Ending::Error }),
-                        false,
-                    );
                 }
-            },
-            Some(Ok(Moved::End)) | Some(Err(_)) => {
+            }
+            Some(Ok(SocketEvent::End)) | Some(Err(_)) => {
                 wire.reason = Reason::Reset;
                 Ending::Reset
             }
--- a/crates/lichenrudder/src/iscsi_front.rs
+++ b/crates/lichenrudder/src/iscsi_front.rs
@@ -1,12 +1,15 @@
 //! The iSCSI front: connections of initiators.
+use crate::accept::accept;
 use crate::context::Context;
 use crate::counts::Count;
 use crate::iscsi_session::{Front, Session, ANSWER};
 use crate::mail::Module;
+use crate::reason::Reason;
 use crate::record;
 use crate::seats::{Doing, Seat, Seats};
+use crate::socket::Socket;
 use crate::value::Answer;
-use crate::wire::{accept, Moved, Reason, Wire};
+use crate::wire::{SocketEvent, Wire};
 use async_io::{Async, Timer};
 use config::{Iscsi, Lun};
 use futures_lite::{future, StreamExt};
@@ -14,7 +17,7 @@
 use iscsi::target::Shown;
 use oxbowhill::interface::Micros;
 use std::cell::RefCell;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -52,8 +55,8 @@
         record,
         sessions: RefCell::default(),
     });
-    let take = |stream, address| {
-        context.executor.spawn(session(front.clone(), seats.clone(), stream, address)).detach();
+    let take = |socket, address| {
+        context.executor.spawn(session(front.clone(), seats.clone(), socket, address)).detach();
     };
     let may = || context.gauges.clients.get() < context.client_bound();
     accept(listener, may, async || seats.room().await, take, async || future::pending().await).await;
@@ -67,10 +70,10 @@
     End(Reason),
 }
 
-async fn session(front: Rc<Front>, seats: Rc<Seats>, stream: Async<TcpStream>, address: SocketAddr) {
+async fn session(front: Rc<Front>, seats: Rc<Seats>, socket: Socket, address: SocketAddr) {
     let context = front.context.clone();
     let _count = Count::up(&context.gauges, |g| &g.clients);
-    let mut wire = Wire::new(stream, "initiator", address, BOUNDS);
+    let mut wire = Wire::new(socket, "initiator", address, BOUNDS);
     if Rc::strong_count(&front) > SESSIONS + 1 {
         wire.reason = Reason::Bound;
         return;
@@ -102,7 +105,7 @@
         let answer = async { Woken::Answer(answered.next().await) };
         let moved = async {
             match wire.next().await {
-                Some(Ok(Moved::End)) => Woken::End(Reason::PeerClosed),
+                Some(Ok(SocketEvent::End)) => Woken::End(Reason::PeerClosed),
                 Some(Err(_)) => Woken::End(Reason::Reset),
                 _ => Woken::Moved,
             }
--- a/crates/lichenrudder/src/iscsi_session.rs
+++ b/crates/lichenrudder/src/iscsi_session.rs
@@ -2,9 +2,10 @@
 use crate::context::Context;
 use crate::iscsi_request::{outcome, request};
 use crate::mail::{Mail, Module, Ticket};
+use crate::reason::Reason;
 use crate::record::{Key, Note};
 use crate::value::Answer;
-use crate::wire::{Reason, Wire};
+use crate::wire::Wire;
 use async_channel::{Receiver, Sender};
 use config::Iscsi;
 use dispatch::{Bytes, Request};
--- a/crates/lichenrudder/src/list.rs
+++ b/crates/lichenrudder/src/list.rs
@@ -2,8 +2,8 @@
 use crate::boxes::Boxes;
 use crate::context::Context;
 use crate::mail::{Ask, Mail, Module};
+use crate::reason::Reason;
 use crate::watch::{fault, Watch};
-use crate::wire::Reason;
 use async_channel::Receiver;
 use async_io::Timer;
 use backoff::{Caller, Failure, Law, LIVENESS};
--- a/crates/lichenrudder/src/main.rs
+++ b/crates/lichenrudder/src/main.rs
@@ -1,5 +1,7 @@
 //! lichenrudder: a front on real sockets round the decision module `oxbowhill`.
+mod accept;
 mod agent;
+mod ban_files;
 mod bans;
 mod blocks;
 mod boxes;
@@ -33,10 +35,13 @@
 mod orders;
 mod peer;
 mod platform;
+mod process_lock;
+mod reason;
 mod record;
 mod reply;
 mod restart;
 mod seats;
+mod socket;
 mod start;
 mod stop;
 mod tally;
--- a/crates/lichenrudder/src/operators.rs
+++ b/crates/lichenrudder/src/operators.rs
@@ -1,6 +1,6 @@
 //! Where operators call, over HTTP/1.1 with one call to a connection: whether this process is ready, its figures,
 //! and taking a disk box out or putting it back.
-use crate::bans::Bans;
+use crate::bans::{Bans, Change};
 use crate::boxes::Boxes;
 use crate::change_orders;
 use crate::changing::Changing;
@@ -17,6 +17,8 @@
 /// A caller waits for 1 s; the module is asked for less.
 const ASKED: Duration = Duration::from_millis(300);
 const FOLDER: &str = "/v1/chunk-servers/";
+/// The answer to a call that is in force and would not outlast a kill yet.
+const NOT_KEPT_YET: &str = "in force, but the folder takes no file: it is tried on; ask again\n";
 
 /// What operators' calls are about.
 #[derive(Clone)]
@@ -55,8 +57,9 @@
         ("GET", "/v1/metrics", _) => http::answer(200, "OK", &figures(on).await),
         ("POST", _, Some((id, what @ ("suspend" | "resume")))) => {
             match on.boxes.set(&http::unescape(id), what == "suspend").await {
-                true => http::answer(200, "OK", "done\n"),
-                false => http::answer(404, "Not Found", "no such chunk server was listed\n"),
+                Change::Kept => http::answer(200, "OK", "done\n"),
+                Change::NotKeptYet => http::answer(503, "Service Unavailable", NOT_KEPT_YET),
+                Change::Unknown => http::answer(404, "Not Found", "no such chunk server was listed\n"),
             }
         }
         (_, "/v1/readyz" | "/v1/metrics", _) | (_, _, Some((_, "suspend" | "resume"))) => {
--- a/crates/lichenrudder/src/platform.rs
+++ b/crates/lichenrudder/src/platform.rs
@@ -1,19 +1,22 @@
 //! The platform's front: RESP2 connections of clients.
+use crate::accept::accept;
 use crate::client::{Client, PIPELINE};
 use crate::context::Context;
 use crate::counts::{Count, Weight};
 use crate::gathering::{Gathering, Owed};
 use crate::mail::{Mail, Module};
+use crate::reason::Reason;
 use crate::reply::Reply;
 use crate::seats::{Seat, Seats, SHORT};
+use crate::socket::Socket;
 use crate::value::Answer;
-use crate::wire::{accept, Moved, Reason, Wire};
+use crate::wire::{SocketEvent, Wire};
 use async_io::{Async, Timer};
 use dispatch::Bytes;
 use futures_lite::{future, StreamExt};
 use oxbowhill::interface::Micros;
 use std::collections::VecDeque;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -22,7 +25,7 @@
 const FOLLOWED: Duration = Duration::from_millis(20);
 
 /// How long a client may take to close a connection that is shut.
-const FAREWELL: Duration = Duration::from_millis(200);
+const LINGER: Duration = Duration::from_millis(200);
 
 /// Accepts clients until the program ends.
 pub async fn listen(
@@ -34,8 +37,8 @@
 ) {
     // Guards the descriptors of everything else: beyond the bound some are refused, more are not accepted for now.
     let may = || context.gauges.clients.get() < context.client_bound() + context.beyond_bound();
-    let take = |stream, address| {
-        let talk = client(context.clone(), module.clone(), seats.clone(), gathering.clone(), stream, address);
+    let take = |socket, address| {
+        let talk = client(context.clone(), module.clone(), seats.clone(), gathering.clone(), socket, address);
         context.executor.spawn(talk).detach();
     };
     // Guards new connections against a process that is about to end, where another listens beside it.
@@ -63,11 +66,11 @@
     module: Module,
     seats: Rc<Seats>,
     gathering: Option<Gathering>,
-    stream: Async<TcpStream>,
+    socket: Socket,
     address: SocketAddr,
 ) {
     let _count = Count::up(&context.gauges, |g| &g.clients);
-    let mut wire = Wire::new(stream, "client", address, BOUNDS);
+    let mut wire = Wire::new(socket, "client", address, BOUNDS);
     let (answers, answered) = async_channel::bounded(PIPELINE);
     let mut answered = Box::pin(answered);
     let idle = Micros((context.config().clients.idle_s * 1e6) as i64);
@@ -104,7 +107,7 @@
         let answer = async { Woken::Answer(answered.next().await) };
         let moved = async {
             match wire.next().await {
-                Some(Ok(Moved::End)) => Woken::End(Reason::PeerClosed),
+                Some(Ok(SocketEvent::End)) => Woken::End(Reason::PeerClosed),
                 Some(Err(_)) => Woken::End(Reason::Reset),
                 _ => Woken::Moved,
             }
@@ -175,8 +178,8 @@
     // One that makes room does so at once; nothing is owed on it.
     if matches!(wire.reason, Reason::Protocol | Reason::Bound | Reason::Stopped) {
         let late = async {
-            Timer::after(FAREWELL).await;
+            Timer::after(LINGER).await;
         };
-        future::or(wire.farewell(), late).await;
+        future::or(wire.lingering_close(), late).await;
     }
 }
--- /dev/null
+++ b/crates/lichenrudder/src/socket.rs
@@ -0,0 +1,122 @@
+//! A TCP stream that is registered with the reactor. A call that a signal interrupts is made again, and a registration that
+//! the system refuses is tried again: neither says anything of the connection.
+use async_io::{Async, Timer};
+use futures_lite::future;
+use rustix::event::{PollFd, PollFlags, Timespec};
+use rustix::io::Errno;
+use rustix::net::{self, AddressFamily, SocketFlags, SocketType};
+use std::future::Future;
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{ready, Context, Poll};
+use std::time::Duration;
+
+/// How long a registration that was refused waits for its next try.
+const RETRY: Duration = Duration::from_millis(5);
+
+#[derive(Clone, Copy)]
+enum Direction {
+    Read,
+    Write,
+}
+
+/// The stream.
+pub struct Socket {
+    stream: Arc<TcpStream>,
+    /// None while the reactor could not be told of it.
+    registered: Option<Async<Arc<TcpStream>>>,
+    retry: Timer,
+}
+
+impl Socket {
+    /// Registers a stream.
+    pub fn new(stream: TcpStream) -> Socket {
+        let stream = Arc::new(stream);
+        // Without this a command's last bytes may wait for an acknowledgement.
+        let _ = stream.set_nodelay(true);
+        let _ = stream.set_nonblocking(true);
+        let registered = Async::new_nonblocking(stream.clone()).ok();
+        Socket { stream, registered, retry: Timer::after(RETRY) }
+    }
+
+    /// Connects; the error is that of the first call that failed.
+    pub async fn connect(address: SocketAddr) -> io::Result<Socket> {
+        let family = if address.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
+        let flags = SocketFlags::CLOEXEC | SocketFlags::NONBLOCK;
+        let socket = net::socket_with(family, SocketType::STREAM, flags, None)?;
+        match net::connect(&socket, &address) {
+            // An interrupted connect goes on by itself.
+            Ok(()) | Err(Errno::INPROGRESS | Errno::INTR) => {}
+            Err(error) => return Err(error.into()),
+        }
+        let mut socket = Socket::new(TcpStream::from(socket));
+        future::poll_fn(|cx| socket.poll_ready(Direction::Write, cx)).await;
+        match socket.stream.take_error()? {
+            None => Ok(socket),
+            Some(error) => Err(error),
+        }
+    }
+
+    /// Reads what has come, at least a byte; 0 at its end.
+    pub fn poll_read(&mut self, cx: &mut Context<'_>, buffer: &mut [u8]) -> Poll<io::Result<usize>> {
+        self.poll_call(Direction::Read, cx, |mut stream| stream.read(buffer))
+    }
+
+    /// Writes as much as the system takes.
+    pub fn poll_write(&mut self, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        self.poll_call(Direction::Write, cx, |mut stream| stream.write(bytes))
+    }
+
+    /// Ends the sending.
+    pub fn shutdown_write(&self) -> io::Result<()> {
+        self.stream.shutdown(Shutdown::Write)
+    }
+
+    /// Whether the other side has closed, though what it sent before may not be read yet.
+    pub fn hung_up(&self) -> bool {
+        let mut look = [PollFd::new(&*self.stream, PollFlags::RDHUP)];
+        let now = Timespec { tv_sec: 0, tv_nsec: 0 };
+        // A look that fails tells nothing.
+        rustix::event::poll(&mut look, Some(&now)).is_ok() && !look[0].revents().is_empty()
+    }
+
+    fn poll_call(
+        &mut self,
+        direction: Direction,
+        cx: &mut Context<'_>,
+        mut call: impl FnMut(&TcpStream) -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            match call(&self.stream) {
+                Err(error) if error.kind() == ErrorKind::Interrupted => continue,
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                done => return Poll::Ready(done),
+            }
+            ready!(self.poll_ready(direction, cx));
+        }
+    }
+
+    /// Waits for the reactor's word; registers the stream anew where the reactor fails.
+    fn poll_ready(&mut self, direction: Direction, cx: &mut Context<'_>) -> Poll<()> {
+        loop {
+            let ready = self.registered.as_ref().map(|registered| match direction {
+                Direction::Read => registered.poll_readable(cx),
+                Direction::Write => registered.poll_writable(cx),
+            });
+            match ready {
+                Some(Poll::Pending) => return Poll::Pending,
+                Some(Poll::Ready(Ok(()))) => return Poll::Ready(()),
+                Some(Poll::Ready(Err(_))) => {
+                    self.registered = None;
+                    self.retry.set_after(RETRY);
+                }
+                None => {}
+            }
+            ready!(Pin::new(&mut self.retry).poll(cx));
+            self.registered = Async::new_nonblocking(self.stream.clone()).ok();
+            self.retry.set_after(RETRY);
+        }
+    }
+}
--- a/crates/lichenrudder/src/start.rs
+++ b/crates/lichenrudder/src/start.rs
@@ -1,6 +1,7 @@
 //! The start: what is shared is made, actors are spawned, listeners opened, in the order in which one needs another.
 use crate::agent::{self, Form};
-use crate::bans::{self, Bans};
+use crate::ban_files;
+use crate::bans::Bans;
 use crate::boxes::Boxes;
 use crate::context::{Context, Other};
 use crate::gathering::Gathering;
@@ -63,19 +64,18 @@
 async fn serve(mut on: Operators, inbox: Receiver<Mail>) -> Result<(), String> {
     let Operators { context, module, boxes, bans, .. } = on.clone();
     let config = context.config();
-    let claim = handover::Claim::make(&context);
-    context.life.other.set(claim.as_ref().map_or(Other::None, handover::Claim::look));
+    let lock = handover::begin(&context);
     let follows = context.life.other.get() != Other::None;
-    let listen = if claim.is_some() { bind_beside } else { bind };
-    if let Some(claim) = claim {
-        let looks = handover::run(context.clone(), module.clone(), boxes.clone(), claim);
+    let listen = if lock.is_some() { bind_beside } else { bind };
+    if let Some(lock) = lock {
+        let looks = handover::run(context.clone(), module.clone(), boxes.clone(), lock);
         context.executor.spawn(looks).detach();
     }
     let signals =
         Signals::new([Signal::Term, Signal::Int, Signal::Usr1, Signal::Hup]).map_err(|e| e.to_string())?;
     let (watch, asked) = async_channel::bounded(4);
     // Before anything is served: what an earlier process had banned.
-    bans.take_over(files::path(&context).and_then(|front| bans::read(&front)));
+    bans.take_over(files::path(&context).and_then(|front| ban_files::read(&front)));
     let mut running = Running {
         context: context.clone(),
         module: module.clone(),
--- a/crates/lichenrudder/src/watch.rs
+++ b/crates/lichenrudder/src/watch.rs
@@ -1,6 +1,7 @@
 //! One call to discovery: it is up once the first object or empty line has come, and a watch from then on.
 use crate::objects::Objects;
-use crate::wire::{Moved, Reason, Wire};
+use crate::reason::Reason;
+use crate::wire::{SocketEvent, Wire};
 use futures_lite::StreamExt;
 use http::{Chunks, Length};
 use std::net::SocketAddr;
@@ -72,9 +73,9 @@
     /// Waits until more has come, and takes it in.
     pub async fn more(&mut self) -> Result<(), Reason> {
         match self.wire.next().await {
-            Some(Ok(Moved::Wrote)) => return Ok(()),
-            Some(Ok(Moved::Read)) => {}
-            Some(Ok(Moved::End)) => return Err(Reason::PeerClosed),
+            Some(Ok(SocketEvent::Wrote)) => return Ok(()),
+            Some(Ok(SocketEvent::Read)) => {}
+            Some(Ok(SocketEvent::End)) => return Err(Reason::PeerClosed),
             Some(Err(_)) | None => return Err(Reason::Reset),
         }
         let input = &mut self.wire.input;
--- a/crates/lichenrudder/tests/persisted.rs
+++ b/crates/lichenrudder/tests/persisted.rs
@@ -57,3 +57,22 @@
 fn a_suspended_chunk_server_stays_so_though_the_folder_was_full() {
     a_yes_outlasts_the_kill("openat=ENOSPC/1 write=ENOSPC/1");
 }
+#[test]
+fn a_suspended_chunk_server_stays_so_though_writes_and_syncs_failed() {
+    a_yes_outlasts_the_kill("write=EIO/1 fsync=EIO/1 fdatasync=EIO/1");
+}
+
+#[test]
+fn a_yes_is_said_only_once_it_is_kept() {
+    let (ip, faults, folder) = (address(), Faults::build().unwrap(), tempfile::tempdir().unwrap());
+    let server = Server::start(&ip, Duration::ZERO);
+    let mut program = start(&ip, folder.path(), &faults, "write=ENOSPC/1");
+    faults.occur(true).unwrap();
+    assert_eq!(call(&ip, 6382, SUSPEND), 503, "it is in force and not kept");
+    faults.occur(false).unwrap();
+    assert_eq!(call(&ip, 6382, SUSPEND), 200, "repeated once the folder is well");
+    program.child.kill().unwrap();
+    program.child.wait().unwrap();
+    let program = start(&ip, folder.path(), &faults, "write=ENOSPC/1");
+    assert!(!reaches(&program, &server), "killed right after the yes");
+}
