--- /dev/null
+++ b/crates/lichenrudder/tests/wall_clock.rs
@@ -0,0 +1,92 @@
+//! The wall clock may be stepped, by seconds or an hour, before the start or while the program runs. A server in slow start
+//! gets no more for it, and what is ordered or kept by time stays in order.
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+mod common;
+#[path = "wall_clock/discovery.rs"]
+mod discovery;
+use common::server::Server;
+use common::{address, ask, book, config, spawn_as};
+use discovery::Discovery;
+use rig::faults::Faults;
+use std::io::{Read, Write};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Requests a second, on some connections in turn.
+const RATE: u32 = 150;
+const CLIENTS: usize = 10;
+/// The time after the notification in which requests are counted.
+const COUNTED: Duration = Duration::from_millis(1500);
+/// Steps of the wall clock (s).
+const STEPS: [i64; 4] = [5, -5, 3600, -3600];
+
+/// When the server has started.
+#[derive(Clone, Copy)]
+enum Start {
+    /// Right before the front, whose wall clock is off from its start on.
+    BeforeTheFront,
+    /// While the front runs, after the wall clock of all machines was stepped.
+    AfterTheStep,
+}
+
+fn unix_ms(step: i64) -> i64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as i64;
+    now + step * 1000
+}
+
+/// Requests that the server gets in the first while after the front was told of its start.
+fn sent(start: Start, step: i64) -> usize {
+    let (ip, faults) = (address(), Faults::build().unwrap());
+    let server = Server::start(&ip, Duration::from_millis(5));
+    let first = if matches!(start, Start::BeforeTheFront) { unix_ms(0) } else { 0 };
+    let mut discovery = Discovery::start(&ip, first);
+    faults.step_wall_clock(if matches!(start, Start::BeforeTheFront) { step } else { 0 }).unwrap();
+    let all = config(&ip);
+    let known = &all[all.find("[known]").unwrap()..all.find("[settings]").unwrap()];
+    let text =
+        all.replace(known, "").replace("seed = \"7\"", &format!("seed = \"7\"\ndiscovery = \"{ip}:8500\""));
+    let program = spawn_as(&text, &ip, |command| faults.preload(command));
+    let mut clients: Vec<_> = (0..CLIENTS).map(|_| program.connect(6379)).collect();
+    discovery.wait_for_watch();
+    for client in &clients {
+        let mut answers = client.try_clone().unwrap();
+        std::thread::spawn(move || while answers.read(&mut [0; 4096]).is_ok_and(|count| count > 0) {});
+    }
+    let mut notified = Instant::now();
+    if matches!(start, Start::AfterTheStep) {
+        std::thread::sleep(Duration::from_millis(300));
+        faults.step_wall_clock(step).unwrap();
+        notified = Instant::now();
+        discovery.notify(unix_ms(step));
+    }
+    let (begin, count) = (Instant::now(), (COUNTED.as_millis() as u32 + 100) * RATE / 1000);
+    for n in 0..count {
+        std::thread::sleep(
+            (begin + Duration::from_secs(1) * n / RATE).saturating_duration_since(Instant::now()),
+        );
+        let n = n as u64;
+        let request = if n % 3 == 0 { book(n, 1200) } else { ask(n, 1200) };
+        let client = &mut clients[n as usize % CLIENTS];
+        client.write_all(&request).unwrap();
+    }
+    server.arrivals().iter().filter(|a| a.at >= notified && a.at < notified + COUNTED).count()
+}
+
+fn no_more_than_unstepped(start: Start) {
+    let plays = [0].into_iter().chain(STEPS).map(|step| std::thread::spawn(move || sent(start, step)));
+    let counts: Vec<usize> = plays.collect::<Vec<_>>().into_iter().map(|play| play.join().unwrap()).collect();
+    println!("sent with steps of 0 and {STEPS:?} s: {counts:?}");
+    assert!(counts[0] >= 5, "a server in slow start is used: {counts:?}");
+    // Where in the first of its parts a front begins is drawn, so a quarter and five requests are let pass.
+    let most = counts[0] + counts[0] / 4 + 5;
+    assert!(counts.iter().all(|count| *count <= most), "{counts:?}, with steps of 0 and {STEPS:?} s");
+}
+
+#[test]
+fn a_front_whose_clock_is_wrong_keeps_to_the_slow_start() {
+    no_more_than_unstepped(Start::BeforeTheFront);
+}
+
+#[test]
+fn a_step_of_all_clocks_leaves_the_slow_start_as_it_is() {
+    no_more_than_unstepped(Start::AfterTheStep);
+}
