Count starts from their notification, deadlines from arrival, and keep a request's class

Causes: boxes.rs set startedAtMs against one reading of the wall clock; client.rs let a command's time run from when it was understood, behind 128 others perhaps; decide/requests.rs looked a request's class up in the settings in force now.

Changes: start_times.rs counts a start from its notification by the monotonic clock, unless it lies further back than any step (an hour) can feign, and another start is one also where it seems earlier; starts that are told together keep their order. arrivals.rs notes when bytes came, those that found no room since there was none. A held request has its class as it was.

--- a/crates/lichenrudder/src/boxes.rs
+++ b/crates/lichenrudder/src/boxes.rs
@@ -5,10 +5,11 @@
 use crate::context::Context;
 use crate::mail::{Mail, Module};
 use crate::peer::{self, PeerMail, Place, Work};
+use crate::start_times::{wall_clock, Start};
 use async_channel::Sender;
 use config::{Target, Targets};
 use dispatch::Attempt;
-use oxbowhill::interface::{ListNews, NodeId, NodeState};
+use oxbowhill::interface::{ListNews, Micros, NodeEntry, NodeId, NodeState};
 use std::borrow::Cow;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
@@ -79,10 +80,10 @@
     /// must know of a drain.
     pub fn news(&self, targets: &Targets) -> ListNews {
         let targets = &*self.lay_over(targets);
-        self.update(&targets.targets, targets.whole);
-        let entries = targets.targets.iter().map(|target| {
-            self.bans.remember(&target.entry.node);
-            self.bans.seen(target.entry.clone())
+        let entries = self.update(&targets.targets, targets.whole);
+        let entries = entries.into_iter().map(|entry| {
+            self.bans.remember(&entry.node);
+            self.bans.seen(entry)
         });
         match targets.whole {
             true => ListNews::Full(entries.collect()),
@@ -106,8 +107,8 @@
     pub async fn put(&self, over: BTreeMap<NodeId, Target>, changed: &[Target]) {
         self.over.replace(over);
         changed.iter().for_each(|target| self.bans.remember(&target.entry.node));
-        self.update(changed, false);
-        let entries = changed.iter().map(|target| self.bans.seen(target.entry.clone())).collect();
+        let entries = self.update(changed, false);
+        let entries = entries.into_iter().map(|entry| self.bans.seen(entry)).collect();
         let _ = self.module.send(Mail::News(ListNews::Delta(entries))).await;
         // This is no word of discovery: where that is not heard, the module goes on taking care.
         if self.context.config().discovery.is_some() && !self.context.life.watching.get() {
@@ -157,11 +158,12 @@
         }
     }
 
-    /// Starts peers for new entries of the list and tells those that are there.
-    fn update(&self, targets: &[Target], whole: bool) {
+    /// Starts peers for new entries of the list and tells those that are there. Gives the entries in their order, with starts
+    /// by this process's own clock.
+    fn update(&self, targets: &[Target], whole: bool) -> Vec<NodeEntry> {
         let mut peers = self.peers.borrow_mut();
-        // One that has left is forgotten: its actor ends once nothing is out there, and one that returns is new. Guards
-        // memory where every box is replaced, and replaced again.
+        // One that has left is forgotten: its actor ends once nothing is out there, and one that returns is new. Bounds the
+        // memory where every server is replaced, and replaced again.
         let leave = |peer: &Peer| peer.place.closed.set(true);
         if whole {
             let named: BTreeSet<&NodeId> = targets.iter().map(|t| &t.entry.node).collect();
@@ -173,46 +175,69 @@
                 stays
             });
         }
+        let now = self.notification_times(targets);
+        let mut entries = Vec::with_capacity(targets.len());
         for target in targets {
-            let entry = &target.entry;
+            let mut entry = target.entry.clone();
             if entry.state == NodeState::Gone {
                 peers.remove(&entry.node).iter().for_each(leave);
+                entries.push(entry);
                 continue;
             }
-            let peer = peers.entry(entry.node.clone()).or_insert_with(|| {
-                // Guards the memory: one with a bound takes room for all of its letters at once, here 64 KiB a box.
-                let (mail, inbox) = async_channel::unbounded();
-                let place = Rc::new(Place {
-                    entry: RefCell::new(entry.clone()),
-                    address: Cell::new(None),
-                    closed: Cell::new(false),
-                    started: Cell::new(entry.started),
-                    speaks: Cell::new(target.speaks),
-                    target: RefCell::new(target.target.clone()),
-                    idle: Cell::new(0),
-                    tally: Rc::default(),
-                    life: Cell::new(0),
-                });
-                let own = self.own.clone();
-                let work = Work {
-                    context: self.context.clone(),
-                    module: self.module.clone(),
-                    place: place.clone(),
-                    make_room: Rc::new(move || own.upgrade().is_some_and(|boxes| boxes.make_room())),
-                };
-                let actor = peer::run(work, inbox, mail.downgrade());
-                self.context.executor.spawn(actor).detach();
-                Peer { mail, place }
-            });
+            let peer = peers.entry(entry.node.clone()).or_insert_with(|| self.start_peer(target));
             let place = &peer.place;
-            if place.started.replace(entry.started) < entry.started || place.address.get() != target.address {
+            let restarted = Start::differs(place.start.get(), entry.started);
+            if let Some(told) = entry.started.filter(|_| restarted) {
+                place.start.set(Some(Start::notified(told, now(told), wall_clock())));
+            }
+            if restarted || place.address.get() != target.address {
                 place.life.set(place.life.get() + 1);
             }
+            entry.started = entry.started.and(place.start.get()).map(|start| start.at);
             place.entry.replace(entry.clone());
             place.speaks.set(target.speaks);
             place.address.set(target.address);
             place.closed.set(self.bans.seen(entry.clone()).state != NodeState::Ready);
             drop(peer.mail.try_send(PeerMail::Changed));
+            entries.push(entry);
         }
+        entries
+    }
+
+    /// When each start that a message tells counts as notified: now, and those that were told later a little later, so that
+    /// of two servers of one shard the one that started last is known.
+    fn notification_times(&self, targets: &[Target]) -> impl Fn(Micros) -> Micros {
+        let mut told: Vec<Micros> = targets.iter().filter_map(|target| target.entry.started).collect();
+        told.sort_unstable();
+        told.dedup();
+        let now = self.context.clock.now().0 - told.len() as i64;
+        move |start| Micros(now + told.partition_point(|other| *other <= start) as i64)
+    }
+
+    /// The actor of a server that is new on the list.
+    fn start_peer(&self, target: &Target) -> Peer {
+        // Bounds the memory: a mailbox with a bound takes room for all of its messages at once, here 64 KiB a server.
+        let (mail, inbox) = async_channel::unbounded();
+        let place = Rc::new(Place {
+            entry: RefCell::new(target.entry.clone()),
+            address: Cell::new(None),
+            closed: Cell::new(false),
+            start: Cell::new(None),
+            speaks: Cell::new(target.speaks),
+            target: RefCell::new(target.target.clone()),
+            idle: Cell::new(0),
+            tally: Rc::default(),
+            life: Cell::new(0),
+        });
+        let own = self.own.clone();
+        let work = Work {
+            context: self.context.clone(),
+            module: self.module.clone(),
+            place: place.clone(),
+            make_room: Rc::new(move || own.upgrade().is_some_and(|boxes| boxes.make_room())),
+        };
+        let actor = peer::run(work, inbox, mail.downgrade());
+        self.context.executor.spawn(actor).detach();
+        Peer { mail, place }
     }
 }
--- a/crates/lichenrudder/src/client.rs
+++ b/crates/lichenrudder/src/client.rs
@@ -1,4 +1,5 @@
 //! A client of the platform's front, without its connection: commands in, answers out in their order.
+use crate::arrivals::Arrivals;
 use crate::command::{understand, Asked};
 use crate::context::Context;
 use crate::counts::Weight;
@@ -52,6 +53,8 @@
     /// What its rings count for.
     pub rings: Weight,
     pub came: Micros,
+    /// When what is read has come.
+    pub arrivals: Arrivals,
     /// When the command that is being read must be whole.
     pub whole_by: Option<Micros>,
     /// What was written when it last went on, and when that was.
@@ -69,6 +72,7 @@
     /// Takes in the commands that have come, as many as may be unanswered and as one turn allows; tells whether it
     /// was the turn that ended it.
     pub fn read(&mut self, wire: &mut Wire) -> bool {
+        self.arrivals.note(wire.read, wire.input.room() > 0, self.context.clock.now());
         let mut left = TURN;
         while self.closing.is_none() && self.slots.len() < PIPELINE {
             // Guards the others against one that sends as fast as it can.
@@ -76,12 +80,14 @@
                 return true;
             }
             left -= 1;
-            let came = self.context.clock.now();
+            let now = self.context.clock.now();
             let room = wire.input.room() > 0;
             let fault = match resp::command(wire.input.contiguous()) {
                 Ok(Some((words, used))) => {
+                    let came = self.arrivals.of_next(used).unwrap_or(now);
                     let asked = understand(&self.context, &words, came);
                     wire.input.consume(used);
+                    self.arrivals.use_up(used);
                     wire.carried += 1;
                     self.whole_by = None;
                     self.take(asked);
@@ -91,7 +97,7 @@
                     if wire.input.is_empty() && wire.carried > 0 {
                         self.whole_by = None;
                     } else if self.whole_by.is_none() {
-                        self.whole_by = Some(Micros(came.0 + self.limits().0));
+                        self.whole_by = Some(Micros(now.0 + self.limits().0));
                     }
                     // Guards memory against many large halves.
                     if wire.input.memory() > SMALL && self.context.rings_full() {
@@ -100,7 +106,7 @@
                         return false;
                     }
                     // Guards descriptors and memory: silent connections, and commands that stay halves.
-                    if self.whole_by.is_none_or(|by| came < by) {
+                    if self.whole_by.is_none_or(|by| now < by) {
                         return false;
                     }
                     if wire.input.is_empty() {
--- a/crates/lichenrudder/src/main.rs
+++ b/crates/lichenrudder/src/main.rs
@@ -1,6 +1,7 @@
 //! lichenrudder: a front on real sockets round the decision module `oxbowhill`.
 mod accept;
 mod agent;
+mod arrivals;
 mod ban_files;
 mod bans;
 mod blocks;
@@ -43,6 +44,7 @@
 mod seats;
 mod socket;
 mod start;
+mod start_times;
 mod stop;
 mod tally;
 mod value;
--- a/crates/lichenrudder/src/peer.rs
+++ b/crates/lichenrudder/src/peer.rs
@@ -5,6 +5,7 @@
 use crate::exchange::{exchange, pass_on, Exchanged};
 use crate::mail::{Mail, Module};
 use crate::reason::Reason;
+use crate::start_times::Start;
 use crate::tally::Tally;
 use crate::value::{Ended, Passing};
 use async_channel::{Receiver, Sender, WeakSender};
@@ -37,8 +38,8 @@
     pub address: Cell<Option<SocketAddr>>,
     /// Whether it has been told to be draining or gone.
     pub closed: Cell<bool>,
-    /// When it last started.
-    pub started: Cell<Option<Micros>>,
+    /// Its last start, where the list tells one.
+    pub start: Cell<Option<Start>>,
     /// How it is spoken to.
     pub speaks: Cell<Speaks>,
     /// Its target's name, for iSCSI.
--- a/crates/lichenrudder/src/platform.rs
+++ b/crates/lichenrudder/src/platform.rs
@@ -1,5 +1,6 @@
 //! The platform's front: RESP2 connections of clients.
 use crate::accept::accept;
+use crate::arrivals::Arrivals;
 use crate::client::{Client, PIPELINE};
 use crate::context::Context;
 use crate::counts::{Count, Weight};
@@ -83,6 +84,7 @@
         seat: Seat::take(&seats, (idle, idle.min(SHORT))),
         rings: Weight::new(&context.gauges, |g| &g.rings),
         came: context.clock.now(),
+        arrivals: Arrivals::default(),
         whole_by: None,
         went_on: (0, context.clock.now()),
         context: context.clone(),
--- a/crates/lichenrudder/src/wire.rs
+++ b/crates/lichenrudder/src/wire.rs
@@ -28,8 +28,9 @@
     pub input: Ring,
     /// What is to be written.
     pub output: Ring,
-    /// Bytes that it has written.
+    /// Bytes that it has written, and read.
     pub written: u64,
+    pub read: u64,
     /// Commands or answers that it carried.
     pub carried: u64,
     /// The reason for its end.
@@ -48,6 +49,7 @@
             input,
             output,
             written: 0,
+            read: 0,
             carried: 0,
             reason: Reason::PeerClosed,
             ended: false,
@@ -123,6 +125,7 @@
                 }
                 Poll::Ready(Ok(count)) => {
                     this.input.commit(count);
+                    this.read += count as u64;
                     return Poll::Ready(Some(Ok(SocketEvent::Read)));
                 }
                 Poll::Ready(Err(e)) => return Poll::Ready(Some(Err(e))),
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -78,6 +78,8 @@
 #[derive(Default)]
 struct Held {
     request: Request,
+    /// Its class as it was when the request came; it stays so, whatever a reload makes of the class.
+    class: Class,
     /// Whether it waits with the background; it does so to its end, whatever a reload makes of its class.
     background: bool,
     session: usize,
--- a/src/decide/attempts.rs
+++ b/src/decide/attempts.rs
@@ -18,7 +18,7 @@
         let Some(until) = self.requests.get(&id).map(|h| self.repeatable_until(h)) else { return };
         let Some(held) = self.requests.get_mut(&id) else { return };
         held.place = Place::Out;
-        let (mut allowed, aim) = (until > now, self.set.classes[held.request.class].aim);
+        let (mut allowed, aim) = (until > now, held.class.aim);
         let Some(n) = self.shards.get(&held.shard).and_then(|s| s.node) else { return };
         if let Some(budget) = self.set.retry_budget.as_ref().filter(|_| held.attempts > 0) {
             forget(&mut self.taken, Micros(now.0 - budget.window.0));
--- a/src/decide/requests.rs
+++ b/src/decide/requests.rs
@@ -18,7 +18,7 @@
         if odd || !(request.units.is_finite() && request.units >= 0.0) || request.grace.0 <= 0 {
             return actions.push(Action::Refuse { id, wait: None });
         }
-        let class = &self.set.classes[request.class];
+        let class = self.set.classes[request.class].clone();
         let (aim, in_order) = (class.aim, class.in_order);
         let hosts = f64::from(request.volume_hosts.clamp(1, self.set.hosts));
         let full = self.shards.len() >= SHARDS;
@@ -47,8 +47,17 @@
             return actions.push(Action::Refuse { id, wait: hint });
         }
         self.sessions[session].requests += 1;
-        let held =
-            Held { request, background: lane.0, session, shard, came, due, expires, ..Held::default() };
+        let held = Held {
+            request,
+            class,
+            background: lane.0,
+            session,
+            shard,
+            came,
+            due,
+            expires,
+            ..Held::default()
+        };
         self.requests.insert(id, held);
         if !self.hold(id) {
             return self.conclude(id, actions);
@@ -60,7 +69,7 @@
 
     /// Until when a request may be sent to its shard's node, after what has happened to it.
     pub(super) fn repeatable_until(&self, held: &Held) -> Micros {
-        let class = &self.set.classes[held.request.class];
+        let class = &held.class;
         let node = self.shards.get(&held.shard).and_then(|s| s.node).map(|n| &self.nodes[n].entry);
         match (held.ran, class.repeats) {
             (None, _) | (_, Repeats::Safe) => Micros(i64::MAX),
@@ -101,8 +110,7 @@
     /// The final answer of a request that has no attempt out: refused where that is true, else failed.
     pub(super) fn conclude(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(held) = self.requests.get(&id) else { return };
-        let class = &self.set.classes[held.request.class];
-        let (repeats, aim) = (class.repeats, class.aim);
+        let (repeats, aim) = (held.class.repeats, held.class.aim);
         let wait = self.expected(held.shard, (held.background, held.session), held.request.units);
         let Some(held) = self.requests.get(&id) else { return };
         let patience = Micros(held.expires.0 + ANSWER_TICKS * self.set.tick.0);
@@ -125,8 +133,7 @@
         if let Some(queue) = queue.filter(|_| held.place == Place::Queued) {
             queue.units -= held.request.units;
         }
-        let in_order = self.set.classes[held.request.class].in_order;
-        let Some(key) = held.request.key.filter(|_| in_order) else { return };
+        let Some(key) = held.request.key.filter(|_| held.class.in_order) else { return };
         self.keys.entry(key.clone()).and_modify(|line| line.line.retain(|other| *other != id));
         self.next_of_key(&key, actions);
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -29,13 +29,14 @@
 pub struct ShardId(pub u32);
 
 /// What a class allows once an attempt may have run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Repeats {
     /// Running twice does no harm.
     Safe,
     /// Repeats are dropped inside a group of nodes, for a time.
     Keyed(Group),
     /// Must not run twice.
+    #[default]
     Unsafe,
 }
 
@@ -51,7 +52,7 @@
 }
 
 /// A class of request.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Class {
     /// An answer within this time earns its full worth.
     pub aim: Micros,
