--- /dev/null
+++ b/crates/lichenrudder/tests/beyond.rs
@@ -0,0 +1,35 @@
+//! A client beyond the bound of connections has an answer for every request that was read, and only then a close.
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+mod common;
+use common::{address, ask, config, Program};
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::time::Duration;
+
+/// Commands that each client beyond the bound sends at once.
+const COMMANDS: u64 = 5;
+
+#[test]
+fn each_of_many_commands_beyond_the_bound_is_refused() {
+    let ip = address();
+    let _hangs = TcpListener::bind((ip.as_str(), 6390)).unwrap();
+    let text = config(&ip).replace("seed =", "limits = { sockets = 100 }\nseed =");
+    let text = text.replace("OnTimeS = 0.25\nDeadlineS = 1.2", "OnTimeS = 20.0\nDeadlineS = 30.0");
+    let program = Program::start(&text, &ip);
+    // All of them are owed an answer, and none makes room.
+    let busy: Vec<TcpStream> = (0..40)
+        .map(|n| {
+            let mut client = program.connect(6379);
+            client.write_all(&ask(n, 9000)).unwrap();
+            client
+        })
+        .collect();
+    std::thread::sleep(Duration::from_millis(200));
+    let mut beyond = program.connect(6379);
+    let commands: Vec<u8> = (100..100 + COMMANDS).flat_map(|n| ask(n, 1200)).collect();
+    beyond.write_all(&commands).unwrap();
+    let mut answers = String::new();
+    beyond.read_to_string(&mut answers).unwrap();
+    assert_eq!(answers, "-BUSY\r\n".repeat(COMMANDS as usize));
+    drop(busy);
+}
--- a/crates/lichenrudder/tests/system_calls.rs
+++ b/crates/lichenrudder/tests/system_calls.rs
@@ -55,6 +55,67 @@
     all_are_served("recvfrom=EINTR/7 sendto=EINTR/5");
 }
 
+#[test]
+fn a_connection_whose_registration_fails_is_registered_a_little_later() {
+    all_are_served("epoll_add=ENOMEM/3 epoll_add=ENOSPC/4");
+}
+
+#[test]
+fn connections_that_this_machine_cannot_open_for_a_moment_are_opened_a_little_later() {
+    all_are_served("socket=ENFILE/3 socket=ENOBUFS/4 connect=EADDRNOTAVAIL/5 connect=EINTR/7");
+}
+
+#[test]
+fn a_way_that_is_gone_for_a_moment_costs_no_request_its_answer() {
+    let (ip, faults) = (address(), Faults::build().unwrap());
+    let server = Server::start(&ip, Duration::from_millis(2));
+    let calls = "connect=ENETUNREACH/3 recvfrom=ETIMEDOUT/110 recvfrom=EHOSTUNREACH/130";
+    let program = spawn_as(&config(&ip), &ip, |command| faults.fail(command, calls));
+    drop(program.connect(6379));
+    faults.occur(true).unwrap();
+    let answers = play(&ip, &program);
+    // Where the error hits a client's own connection, that client has none.
+    let without =
+        answers.get("").copied().unwrap_or(0) + answers.get("ConnectionReset").copied().unwrap_or(0);
+    assert!(without <= 10, "{answers:?}");
+    assert_eq!(answers.values().sum::<usize>() as u64, REQUESTS, "{answers:?}");
+    let mut pieces: Vec<String> = server.arrivals().into_iter().map(|a| a.piece).collect();
+    pieces.retain(|piece| u64::from_str_radix(piece, 16).unwrap() % 3 == 0);
+    let bookings = pieces.len();
+    pieces.sort_unstable();
+    pieces.dedup();
+    assert_eq!(pieces.len(), bookings, "a booking ran twice");
+}
+
+#[test]
+fn signals_that_come_with_interrupted_calls_are_what_they_are() {
+    let (ip, faults) = (address(), Faults::build().unwrap());
+    let mut program =
+        spawn_as(&config(&ip), &ip, |command| faults.fail(command, "recvfrom=EINTR/2 read=EINTR/2"));
+    drop(program.connect(6379));
+    faults.occur(true).unwrap();
+    for n in 0..20 {
+        program.signal(if n % 2 == 0 { "USR1" } else { "HUP" });
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    assert_eq!(program.child.try_wait().unwrap(), None, "it has ended");
+    drop(program.connect(6379));
+    program.signal("TERM");
+    assert_eq!(program.exit(), 0);
+}
+
+#[test]
+fn a_start_at_which_calls_fail_for_a_moment_succeeds() {
+    let (ip, faults) = (address(), Faults::build().unwrap());
+    faults.occur(true).unwrap();
+    let calls = "socket=ENFILE/1 epoll_add=ENOMEM/3";
+    let mut program = spawn_as(&config(&ip), &ip, |command| faults.fail(command, calls));
+    std::thread::sleep(Duration::from_millis(300));
+    faults.occur(false).unwrap();
+    drop(program.connect(6379));
+    assert_eq!(program.child.try_wait().unwrap(), None);
+}
+
 #[test]
 fn accepting_that_fails_is_tried_again() {
     all_are_served("accept4=ECONNABORTED/3 accept4=ENFILE/4 accept4=ENOBUFS/5 accept4=EINTR/7");
--- a/crates/lichenrudder/tests/wall_clock.rs
+++ b/crates/lichenrudder/tests/wall_clock.rs
@@ -5,9 +5,10 @@
 #[path = "wall_clock/discovery.rs"]
 mod discovery;
 use common::server::Server;
-use common::{address, ask, book, config, spawn_as};
+use common::{address, ask, book, call, config, spawn_as};
 use discovery::Discovery;
 use rig::faults::Faults;
+use rstest::rstest;
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -96,6 +97,48 @@
     assert!(counts.iter().all(|count| *count <= most), "{counts:?}, with steps of 0 and {STEPS:?} s");
 }
 
+/// A front is upgraded while the wall clock is stepped: the later process is the later one, and what was taken out stays so.
+#[rstest]
+fn a_process_that_starts_later_comes_later(#[values(5, -5, 3600, -3600)] step: i64) {
+    let (ip, faults, folder) = (address(), Faults::build().unwrap(), tempfile::tempdir().unwrap());
+    let server = Server::start(&ip, Duration::ZERO);
+    let all = config(&ip);
+    let iscsi = &all[all.find("[agent]").unwrap()..all.find("[known]").unwrap()];
+    let text = all.replace(iscsi, "").replace("speaks = \"iscsi\"", "");
+    let start = |port: &str| {
+        spawn_as(&text.replace(":6382", port), &ip, |command| {
+            faults.preload(command);
+            command.env("TMPDIR", folder.path());
+        })
+    };
+    let mut old = start(":6382");
+    drop(old.connect(6379));
+    assert_eq!(call(&ip, 6382, "POST /v1/chunk-servers/box-0/suspend"), 200);
+    faults.step_wall_clock(step).unwrap();
+    let new = start(":6383");
+    let end = Instant::now() + Duration::from_secs(8);
+    while call(&ip, 6383, "GET /v1/readyz") != 200 {
+        assert!(Instant::now() < end, "the new process is not ready");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    std::thread::sleep(Duration::from_millis(200));
+    old.signal("TERM");
+    assert_eq!(old.exit(), 0);
+    let mut client = new.connect(6379);
+    for n in 0..5 {
+        client.write_all(&ask(n, 200)).unwrap();
+        let mut answer = [0; 5];
+        client.read_exact(&mut answer).unwrap();
+        assert_eq!(&answer, b"-BUSY", "it serves, and box-0 is out");
+        client.read(&mut [0; 64]).map(drop).unwrap();
+    }
+    assert!(server.arrivals().is_empty(), "what was taken out gets requests");
+    assert_eq!(call(&ip, 6383, "POST /v1/chunk-servers/box-0/resume"), 200);
+    client.write_all(&ask(9, 1200)).unwrap();
+    client.read(&mut [0; 64]).map(drop).unwrap();
+    assert_eq!(server.arrivals().len(), 1, "it is put back");
+}
+
 #[test]
 fn a_front_whose_clock_is_wrong_keeps_to_the_slow_start() {
     no_more_than_unstepped(Start::BeforeTheFront);
--- a/crates/rig/faults/faults.c
+++ b/crates/rig/faults/faults.c
@@ -18,6 +18,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/epoll.h>
 #include <sys/prctl.h>
 #include <sys/syscall.h>
 #include <time.h>
@@ -32,12 +33,14 @@
   long error;
   int every;
   int on_file;
+  int only_add;
   int seen;
 };
 
 static const struct { const char *name; long call; int on_file; } CALLS[] = {
     {"recvfrom", SYS_recvfrom, 0}, {"sendto", SYS_sendto, 0},       {"accept4", SYS_accept4, 0},
     {"socket", SYS_socket, 0},     {"connect", SYS_connect, 0},     {"epoll_ctl", SYS_epoll_ctl, 0},
+    {"epoll_add", SYS_epoll_ctl, 0}, {"read", SYS_read, 0},
     {"openat", SYS_openat, 1},     {"write", SYS_write, 1},         {"fsync", SYS_fsync, 1},
     {"pwrite64", SYS_pwrite64, 1}, {"fdatasync", SYS_fdatasync, 1},
 };
@@ -82,6 +85,7 @@
   int saved = errno;
   for (int i = 0; i < known; i++) {
     struct fault *fault = &faults[i];
+    if (fault->only_add && a[1] != EPOLL_CTL_ADD) continue;
     if (fault->call != call || (fault->on_file && !concerns_file(fault, a))) continue;
     if (only_while && access(only_while, F_OK) != 0) continue;
     if (__atomic_add_fetch(&fault->seen, 1, __ATOMIC_RELAXED) % fault->every == 0) {
@@ -95,7 +99,7 @@
 }
 
 static void add(const char *name, const char *error, int every) {
-  struct fault fault = {-1, -1, every, 0, 0};
+  struct fault fault = {-1, -1, every, 0, strcmp(name, "epoll_add") == 0, 0};
   for (size_t i = 0; i < sizeof CALLS / sizeof *CALLS; i++)
     if (strcmp(CALLS[i].name, name) == 0) fault.call = CALLS[i].call, fault.on_file = CALLS[i].on_file;
   for (size_t i = 0; i < sizeof ERRORS / sizeof *ERRORS; i++)
