Answer all that was read beyond the bound, let no write begin once its initiator left, start through shortages

Causes: client.rs closed a client beyond the bound after its first command; the session of an initiator told the record nothing at its end, so that a waiting write was sent on; start.rs took each error of a listener's socket for final, and stop.rs an error of the signals' stream for SIGTERM.

--- a/crates/dispatch/src/table.rs
+++ b/crates/dispatch/src/table.rs
@@ -16,6 +16,8 @@
 /// rule allows 58 ms.
 const OVERDUE: i64 = 4_000;
 
+/// When a client may come again that was refused for a reason of the core's own.
+const COME_AGAIN: Micros = Micros(100_000);
 /// So many volumes may have figures that were told late.
 const TOLD: usize = 1024;
 
@@ -27,6 +29,10 @@
     /// When it came, and whether an attempt was written whole.
     came: Micros,
     written: bool,
+    /// Whether an attempt may have run.
+    ran: bool,
+    /// Whether no further attempt may begin, though the outcome is still asked for.
+    abandoned: bool,
     /// Whether it still waits for its final answer, as its attempts see it.
     wanted: Rc<Cell<bool>>,
 }
@@ -84,7 +90,7 @@
         // Guards against memory: what is held is bounded, and what comes beyond is refused unseen.
         if self.table.len() >= self.bound.requests || self.held + weight > self.bound.bytes {
             self.counters.bounded += 1;
-            self.effects.push_back(Effect::Answer(ticket, Answer::Refused(Some(Micros(100_000)))));
+            self.effects.push_back(Effect::Answer(ticket, Answer::Refused(Some(COME_AGAIN))));
             return;
         }
         // Guards the request that has the name: disk boxes know requests by it, and would take one for the other.
@@ -117,6 +123,8 @@
                 out: false,
                 came: now,
                 written: false,
+                ran: false,
+                abandoned: false,
                 wanted: Rc::new(Cell::new(true)),
             },
         );
@@ -158,6 +166,7 @@
         }
         entry.out = false;
         entry.written |= !matches!(ended.ending, Ending::ConnectFailed | Ending::Moot);
+        entry.ran |= !matches!(ended.ending, Ending::ConnectFailed | Ending::Moot | Ending::Full);
         match position(ended.ending) {
             Some(n) => self.counters.endings[n] += 1,
             None => self.counters.unsent += 1,
@@ -169,6 +178,9 @@
             let value = ended.value.unwrap_or_default();
             self.effects.push_back(Effect::Answer(ticket, Answer::Served(value)));
         }
+        if self.table.get(&ended.id).is_some_and(|e| e.abandoned) {
+            self.answer_abandoned(now, ended.id);
+        }
         let finished = self.table.get(&ended.id).is_none_or(|e| e.ticket.is_none());
         self.drop_if_done(ended.id);
         let outcome = Outcome {
@@ -199,33 +211,6 @@
         timer.into_iter().chain(overdue).min()
     }
 
-    /// Lets the timers that have come due fire.
-    pub fn wake(&mut self, now: Micros) {
-        while let Some((_, token)) = self.timers.first().copied().filter(|t| t.0 <= now) {
-            self.timers.pop_first();
-            self.tell(now, Event::Timer(token));
-        }
-        while let Some((at, id)) = self.overdue.first().copied().filter(|o| o.0 <= now) {
-            self.overdue.remove(&(at, id));
-            // Guards the rule that every request is answered: whatever the module holds, its client waits no more.
-            if let Some(ticket) = self.finish(id) {
-                self.counters.overdue += 1;
-                self.counters.failed += 1;
-                self.count_late(now, id);
-                self.effects.push_back(Effect::Answer(ticket, Answer::Failed("no answer in time")));
-                self.drop_if_done(id);
-                self.tell(now, Event::Left(id));
-            }
-        }
-    }
-
-    /// All that is open is to have its answer by then, however long its client waits. Guards against a kill that finds
-    /// something unanswered.
-    pub fn answer_by(&mut self, by: Micros) {
-        let late = |e: &Entry<T>| e.ticket.is_some() && e.request.until > by;
-        self.overdue.extend(self.table.iter().filter(|(_, e)| late(e)).map(|(id, _)| (by, *id)));
-    }
-
     /// Requests that are not answered yet.
     pub fn unanswered(&self) -> usize {
         self.names.len()
--- a/crates/lichenrudder/src/client.rs
+++ b/crates/lichenrudder/src/client.rs
@@ -93,6 +93,11 @@
                     self.take(asked);
                     continue;
                 }
+                // Each command that has come is refused, and then it ends.
+                Ok(None) if self.beyond && wire.carried > 0 => {
+                    self.closing = Some(Reason::Bound);
+                    return false;
+                }
                 Ok(None) if room => {
                     if wire.input.is_empty() && wire.carried > 0 {
                         self.whole_by = None;
@@ -173,9 +178,6 @@
                 }
             }
         }
-        if self.beyond {
-            self.closing = Some(Reason::Bound);
-        }
     }
 
     /// Hands a request over that is gathered from parts; gives any other back.
--- a/crates/lichenrudder/src/connect.rs
+++ b/crates/lichenrudder/src/connect.rs
@@ -2,23 +2,20 @@
 use crate::counts::Count;
 use crate::peer::Work;
 use crate::reason::Reason;
+use crate::shortage::{is_shortage, no_port, RETRY};
 use crate::wire::Wire;
 use async_io::Timer;
 use dispatch::Attempt;
 use futures_lite::future;
 use iscsi::initiator::Initiator;
 use oxbowhill::interface::{Ending, Micros};
-use rustix::io::Errno;
 use std::io;
 use std::net::SocketAddr;
-use std::time::Duration;
 
 /// What a reply holds beside its value: the figures and the report.
 const BESIDE: usize = 4096;
 /// What a command may take: one value and its words.
 const COMMAND: usize = resp::LONGEST + 16 * 1024;
-/// How long a connection waits for its next try where this machine lacks something.
-const LACKING: Duration = Duration::from_millis(10);
 /// How often it is looked whether an attempt may still begin while its connection comes up.
 const LOOK: i64 = 50_000;
 
@@ -91,15 +88,8 @@
 async fn dial(address: SocketAddr, bounds: (usize, usize)) -> io::Result<Wire> {
     loop {
         match Wire::connect("box", address, bounds).await {
-            Err(error) if is_local(&error) => drop(Timer::after(LACKING).await),
+            Err(error) if is_shortage(&error) || no_port(&error) => drop(Timer::after(RETRY).await),
             ended => return ended,
         }
     }
 }
-
-/// Whether this machine, and not the server or the way to it, keeps a connection from coming up: descriptors, memory, ports.
-fn is_local(error: &io::Error) -> bool {
-    let Some(error) = Errno::from_io_error(error) else { return false };
-    [Errno::MFILE, Errno::NFILE, Errno::NOBUFS, Errno::NOMEM, Errno::ADDRNOTAVAIL, Errno::AGAIN]
-        .contains(&error)
-}
--- a/crates/lichenrudder/src/iscsi_front.rs
+++ b/crates/lichenrudder/src/iscsi_front.rs
@@ -2,7 +2,8 @@
 use crate::accept::accept;
 use crate::context::Context;
 use crate::counts::Count;
-use crate::iscsi_session::{Front, Session, ANSWER};
+use crate::iscsi_session::{Session, ANSWER};
+use crate::iscsi_shared::Front;
 use crate::mail::Module;
 use crate::reason::Reason;
 use crate::record;
--- a/crates/lichenrudder/src/iscsi_session.rs
+++ b/crates/lichenrudder/src/iscsi_session.rs
@@ -1,17 +1,15 @@
 //! A session of an initiator, without its connection: its reads and writes as requests of the core, and back.
-use crate::context::Context;
 use crate::iscsi_request::{outcome, request};
-use crate::mail::{Mail, Module, Ticket};
+use crate::iscsi_shared::{Front, Name};
+use crate::mail::{Mail, Ticket};
 use crate::reason::Reason;
 use crate::record::{Key, Note};
 use crate::value::Answer;
 use crate::wire::Wire;
 use async_channel::{Receiver, Sender};
-use config::Iscsi;
 use dispatch::{Bytes, Request};
-use iscsi::target::{Event, Shown, Target};
+use iscsi::target::{Event, Target};
 use oxbowhill::interface::{Micros, RequestId};
-use std::cell::RefCell;
 use std::collections::{BTreeMap, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::rc::Rc;
@@ -19,28 +17,6 @@
 /// What one answer may take on the wire, with all its heads.
 pub const ANSWER: usize = iscsi::LONGEST + 16 * 1024;
 
-/// Initiator and ISID.
-type Name = (Rc<str>, [u8; 6]);
-
-/// A number of its own for each session, and what is closed when another replaces it.
-type Names = RefCell<BTreeMap<Name, (u64, Sender<()>)>>;
-
-/// What all sessions share.
-pub struct Front {
-    /// What every actor stands on.
-    pub context: Rc<Context>,
-    /// The module's mailbox.
-    pub module: Module,
-    /// The front's section of the configuration.
-    pub iscsi: Iscsi,
-    /// What initiators are shown.
-    pub shown: Rc<Shown>,
-    /// The record of writes.
-    pub record: Sender<Note>,
-    /// The sessions that are there.
-    pub sessions: Names,
-}
-
 /// A read or write that is on its way.
 struct Work {
     tag: u32,
@@ -242,9 +218,15 @@
                 sessions.remove(name);
             }
         }
-        // Reads nobody waits for any more; a write goes on, and its result is on the record.
-        for id in self.works.values().filter_map(|w| w.read) {
-            let _ = self.front.module.send(Mail::Left(id)).await;
+        // The record tells by the closed mailbox that this session waits no more.
+        self.answers.close();
+        for work in self.works.into_values() {
+            // A write that has begun goes on, and its result is on the record.
+            match (work.read, work.key) {
+                (Some(id), _) => drop(self.front.module.send(Mail::Left(id)).await),
+                (None, Some(key)) => drop(self.front.record.send(Note::Left(key)).await),
+                (None, None) => {}
+            }
         }
     }
 }
--- a/crates/lichenrudder/src/mail.rs
+++ b/crates/lichenrudder/src/mail.rs
@@ -22,6 +22,8 @@
     Take(RequestId, Request, Ticket),
     /// Its client has gone.
     Left(RequestId),
+    /// Its client has gone, and another may still ask what has become of it.
+    Abandoned(RequestId),
     /// An attempt has ended.
     Ended(Ended),
     /// Units served for a volume through other fronts, told after a long value.
--- a/crates/lichenrudder/src/module.rs
+++ b/crates/lichenrudder/src/module.rs
@@ -51,6 +51,7 @@
                     core.take(now, id, request, ticket);
                 }
                 Mail::Left(id) => core.left(now, id),
+                Mail::Abandoned(id) => core.abandon(now, id),
                 Mail::Ended(ended) => core.ended(now, ended),
                 Mail::Told(volume, units) => core.told_elsewhere(volume, units),
                 Mail::News(news) => core.news(now, news),
--- a/crates/lichenrudder/src/record.rs
+++ b/crates/lichenrudder/src/record.rs
@@ -3,7 +3,7 @@
 //!
 //! A write is known by its initiator, ISID and task tag, and by what it writes. Its result is kept until the
 //! initiator has acknowledged its status, or else for the time in the configuration. A refused write did not
-//! run: it is forgotten, and its reissue is a new try.
+//! run: it is forgotten, and its reissue is a new try. So is one that no session waits for any more and that had not begun.
 use crate::context::Context;
 use crate::mail::{Mail, Module, Ticket};
 use crate::value::{Answer, Value};
@@ -11,7 +11,7 @@
 use async_io::Timer;
 use dispatch::Request;
 use futures_lite::{future, StreamExt};
-use oxbowhill::interface::Micros;
+use oxbowhill::interface::{Micros, RequestId};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -28,6 +28,8 @@
     Begin(Key, Request, Ticket),
     /// The initiator has the write's status.
     Acknowledged(Key),
+    /// The session that asked for it has ended; its mailbox is closed.
+    Left(Key),
 }
 
 enum State {
@@ -37,6 +39,8 @@
 
 struct Entry {
     number: u64,
+    /// Its number in the core, once it runs.
+    id: Option<RequestId>,
     state: State,
 }
 
@@ -81,7 +85,8 @@
             None => {
                 self.next += 1;
                 self.running.insert(self.next, key.clone());
-                self.entries.insert(key, Entry { number: self.next, state: State::Running(vec![ticket]) });
+                self.entries
+                    .insert(key, Entry { number: self.next, id: None, state: State::Running(vec![ticket]) });
                 Next::Run(self.next)
             }
         }
@@ -97,7 +102,7 @@
         };
         let entry = match &kept {
             Some(kept) => {
-                let done = Entry { number, state: State::Done(kept.clone(), now) };
+                let done = Entry { number, id: None, state: State::Done(kept.clone(), now) };
                 self.entries.insert(key, done)
             }
             None => self.entries.remove(&key),
@@ -109,6 +114,21 @@
         }
     }
 
+    /// The write is with the core under that number.
+    fn runs(&mut self, key: &Key, id: RequestId) {
+        if let Some(entry) = self.entries.get_mut(key) {
+            entry.id = Some(id);
+        }
+    }
+
+    /// A session has ended: gives the number of a write for which no session waits any more.
+    fn left(&mut self, key: &Key) -> Option<RequestId> {
+        let entry = self.entries.get_mut(key)?;
+        let State::Running(waiting) = &mut entry.state else { return None };
+        waiting.retain(|ticket| !ticket.to.is_closed());
+        entry.id.filter(|_| waiting.is_empty())
+    }
+
     fn acknowledged(&mut self, key: &Key) {
         if matches!(self.entries.get(key), Some(Entry { state: State::Done(..), .. })) {
             self.entries.remove(key);
@@ -142,15 +162,22 @@
         let answer = async { Woken::Answer(answers.next().await) };
         match future::or(future::or(answer, note), second).await {
             Woken::Note(Some(Note::Begin(key, request, ticket))) => {
-                if let Next::Run(number) = record.begin(key, ticket) {
+                if let Next::Run(number) = record.begin(key.clone(), ticket) {
                     let ticket = Ticket { slot: number, to: to.clone(), class: request.class };
-                    let mail = Mail::Take(context.number(), request, ticket);
+                    let id = context.number();
+                    record.runs(&key, id);
+                    let mail = Mail::Take(id, request, ticket);
                     if module.try_send(mail).is_err() {
                         record.answered(context.clock.now(), number, Answer::Refused(None));
                     }
                 }
             }
             Woken::Note(Some(Note::Acknowledged(key))) => record.acknowledged(&key),
+            Woken::Note(Some(Note::Left(key))) => {
+                if let Some(id) = record.left(&key) {
+                    let _ = module.send(Mail::Abandoned(id)).await;
+                }
+            }
             Woken::Answer(Some((number, answer))) => record.answered(context.clock.now(), number, answer),
             Woken::Second => {}
             Woken::Note(None) | Woken::Answer(None) => return,
--- a/crates/lichenrudder/src/start.rs
+++ b/crates/lichenrudder/src/start.rs
@@ -5,42 +5,20 @@
 use crate::boxes::Boxes;
 use crate::context::{Context, Other};
 use crate::gathering::Gathering;
+use crate::listeners::{self, bind, Sharing};
 use crate::mail::{Mail, MAILBOX};
 use crate::operators::Operators;
 use crate::seats::Seats;
 use crate::stop::Running;
 use crate::{changing, fellows, files, gathering_actor, handover, iscsi_front, list, module, platform};
 use async_channel::Receiver;
-use async_io::{Async, Timer};
-use async_signal::{Signal, Signals};
+use async_io::Timer;
 use oxbowhill::interface::ListNews;
-use rustix::net::{self, sockopt, AddressFamily, SocketFlags, SocketType};
-use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::time::Duration;
 
 /// A process that follows another waits so long for fresh news of discovery before it serves.
 const FRESH: i64 = 3_000_000;
-/// Connections that may wait to be accepted.
-const BACKLOG: i32 = 1024;
-
-fn bind(key: &str, address: SocketAddr) -> Result<Async<TcpListener>, String> {
-    Async::<TcpListener>::bind(address).map_err(|e| format!("{key}: cannot listen on {address}: {e}"))
-}
-
-/// Listens where another process of this front may listen too.
-fn bind_beside(key: &str, address: SocketAddr) -> Result<Async<TcpListener>, String> {
-    let listen = || -> std::io::Result<Async<TcpListener>> {
-        let family = if address.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
-        let socket = net::socket_with(family, SocketType::STREAM, SocketFlags::CLOEXEC, None)?;
-        sockopt::set_socket_reuseaddr(&socket, true)?;
-        sockopt::set_socket_reuseport(&socket, true)?;
-        net::bind(&socket, &address)?;
-        net::listen(&socket, BACKLOG)?;
-        Async::new(TcpListener::from(socket))
-    };
-    listen().map_err(|e| format!("{key}: cannot listen on {address}: {e}"))
-}
 
 /// Runs the program by what its environment names.
 pub fn start() -> Result<(), String> {
@@ -66,13 +44,12 @@
     let config = context.config();
     let lock = handover::begin(&context);
     let follows = context.life.other.get() != Other::None;
-    let listen = if lock.is_some() { bind_beside } else { bind };
+    let sharing = if lock.is_some() { Sharing::Beside } else { Sharing::Alone };
     if let Some(lock) = lock {
         let looks = handover::run(context.clone(), module.clone(), boxes.clone(), lock);
         context.executor.spawn(looks).detach();
     }
-    let signals =
-        Signals::new([Signal::Term, Signal::Int, Signal::Usr1, Signal::Hup]).map_err(|e| e.to_string())?;
+    let signals = listeners::signals().await?;
     let (watch, asked) = async_channel::bounded(4);
     // Before anything is served: what an earlier process had banned.
     bans.take_over(files::path(&context).and_then(|front| ban_files::read(&front)));
@@ -111,7 +88,7 @@
     }
     let gathering = on.gathering.clone();
     if let Some(at) = config.admin {
-        let listener = bind("admin", at)?;
+        let listener = bind("admin", at, Sharing::Alone).await?;
         let form = Form::Operators(on);
         context.executor.spawn(agent::listen(context.clone(), listener, form)).detach();
     }
@@ -124,7 +101,10 @@
     {
         Timer::after(Duration::from_millis(5)).await;
     }
-    let listener = config.listen.map(|a| listen("GW_LISTEN", a)).transpose()?;
+    let listener = match config.listen {
+        Some(at) => Some(bind("GW_LISTEN", at, sharing).await?),
+        None => None,
+    };
     context.life.listening.set(true);
     let (name, at, other) = (&config.name, config.listen, context.life.other.get());
     crate::log::line(format_args!("start name={name} listen={at:?} other={other:?}"));
@@ -134,13 +114,13 @@
         context.executor.spawn(front).detach();
     }
     if let Some(front) = &config.iscsi {
-        let listener = bind("iscsi.listen", front.listen)?;
+        let listener = bind("iscsi.listen", front.listen, Sharing::Alone).await?;
         let front = iscsi_front::listen(context.clone(), module, seats, front.clone(), listener);
         context.executor.spawn(front).detach();
     }
     for (key, what, form) in [("agent", &config.agent, Form::Agent), ("health", &config.health, Form::Http)] {
         if let Some(at) = what {
-            let listener = bind(&format!("{key}.listen"), at.listen)?;
+            let listener = bind(&format!("{key}.listen"), at.listen, Sharing::Alone).await?;
             context.executor.spawn(agent::listen(context.clone(), listener, form)).detach();
         }
     }
--- a/crates/lichenrudder/src/stop.rs
+++ b/crates/lichenrudder/src/stop.rs
@@ -3,6 +3,7 @@
 use crate::changing::Changing;
 use crate::context::Context;
 use crate::mail::{Ask, Mail, Module};
+use crate::shortage::RETRY;
 use async_channel::Sender;
 use async_io::Timer;
 use async_signal::{Signal, Signals};
@@ -92,7 +93,12 @@
             match signal {
                 Ok(Signal::Usr1) => drop(self.module.send(Mail::Print).await),
                 Ok(Signal::Hup) => self.reload().await,
-                _ => break,
+                Ok(_) => break,
+                // The system could not tell of a signal: none has come that ends the program.
+                Err(error) => {
+                    crate::log::line(format_args!("signals error={error}"));
+                    Timer::after(RETRY).await;
+                }
             }
         }
         let since = context.clock.now();
