Fix the end of a stopping front at SIGTERM: a later file does not move the kill

Cause: Context::answer_by and lingered asked the configuration in force each time, so that a reload after SIGTERM moved the time by which all is answered beyond the kill, or before it. It is set once now, by the deadlines at SIGTERM.

--- a/crates/lichenrudder/src/context.rs
+++ b/crates/lichenrudder/src/context.rs
@@ -31,6 +31,8 @@
 pub struct Life {
     /// Since when the program is to end.
     pub stopping: Cell<Option<Micros>>,
+    /// By when all must be answered then.
+    pub answer_by: Cell<Option<Micros>>,
     /// Closed once the program is to end.
     pub stopped: (Sender<()>, Receiver<()>),
     /// Whether requests can be taken on.
@@ -99,6 +101,7 @@
     pub fn new(config: Config) -> Rc<Context> {
         let life = Life {
             stopping: Cell::new(None),
+            answer_by: Cell::new(None),
             stopped: async_channel::bounded(1),
             serving: Cell::new(false),
             listening: Cell::new(false),
@@ -138,17 +141,20 @@
         (self.number().0 % 0xffff) as u16 + 1
     }
 
-    /// The longest deadline of a class.
-    fn longest_deadline(&self) -> i64 {
-        self.config.borrow().classes.iter().map(|c| c.deadline.0).max().unwrap_or(0)
+    /// The program is to end, by the deadlines that are in force now: a later file does not move the kill.
+    pub fn begin_stopping(&self) {
+        let (since, config) = (self.clock.now(), self.config());
+        let longest_deadline = config.classes.iter().map(|c| c.deadline.0).max().unwrap_or(0);
+        self.life.stopping.set(Some(since));
+        self.life.answer_by.set(Some(restart::over(since, longest_deadline)));
+        self.life.stopped.0.close();
     }
 
     /// Whether the program ends and connections are to be closed between requests: at once where another process
     /// serves their clients.
     pub fn lingered(&self) -> bool {
-        let closes =
-            |since| if self.followed() { since } else { restart::over(since, self.longest_deadline()) };
-        self.life.stopping.get().is_some_and(|since| self.clock.now() >= closes(since))
+        let closes = if self.followed() { self.life.stopping.get() } else { self.answer_by() };
+        closes.is_some_and(|at| self.clock.now() >= at)
     }
 
     /// Whether another process has come that takes over.
@@ -158,7 +164,7 @@
 
     /// When the program ends: by when everything must be answered that is taken on from now on.
     pub fn answer_by(&self) -> Option<Micros> {
-        self.life.stopping.get().map(|since| restart::over(since, self.longest_deadline()))
+        self.life.answer_by.get()
     }
 
     /// Descriptors that are held.
--- a/crates/lichenrudder/src/stop.rs
+++ b/crates/lichenrudder/src/stop.rs
@@ -101,11 +101,10 @@
                 }
             }
         }
+        context.begin_stopping();
         let since = context.clock.now();
         let (open, clients) = (context.tallies.open.get(), context.gauges.clients.get());
         crate::log::line(format_args!("stop open={open} clients={clients}"));
-        context.life.stopping.set(Some(since));
-        context.life.stopped.0.close();
         let _ = self.module.send(Mail::Stopping).await;
         self.wind_up(&mut signals, since).await;
         let _ = self.module.send(Mail::Print).await;
