Open a voter's store again after an error of its disk, and keep what waits

Causes: redb takes nothing after an I/O error until it is opened again, and store.rs asked the same database for ever, so a voter whose disk was full for a moment voted no more until its restart; what a front's side keeps was dropped meanwhile; keep.rs wrote a front's changes once, whatever came of it.

Changes: Disk::open_again; a Writer that remembers what is to be kept; keep.rs tries until it is written or something newer comes.

--- a/crates/accord/src/changes/keep.rs
+++ b/crates/accord/src/changes/keep.rs
@@ -2,10 +2,14 @@
 use std::fs::{self, File};
 use std::io::{self, Write};
 use std::path::Path;
+use std::time::Duration;
 
 /// The file. What becomes it has a longer name, each process its own: two of them may be there while one follows the other.
 const NAME: &str = "changes.kept";
 
+/// How long a write that failed waits for the next try.
+const AGAIN: Duration = Duration::from_millis(200);
+
 /// What was kept, where anything was; the folder is made where it is missing.
 pub fn read(folder: &Path) -> io::Result<Option<Vec<u8>>> {
     fs::create_dir_all(folder)?;
@@ -33,11 +37,17 @@
     File::open(folder)?.sync_all()
 }
 
-/// Writes what comes until nothing more does; what can't be written is said, and the next one tried.
+/// Writes what comes until nothing more does. What can't be written is said, and tried again until something newer comes.
 pub fn run(folder: &Path, from: &async_channel::Receiver<Vec<u8>>, log: fn(&str)) {
-    while let Ok(bytes) = from.recv_blocking() {
-        if let Err(e) = write(folder, &bytes) {
+    while let Ok(mut bytes) = from.recv_blocking() {
+        while let Err(e) = write(folder, &bytes) {
             log(&format!("changes kept=no error={e}"));
+            std::thread::sleep(AGAIN);
+            match from.try_recv() {
+                Ok(newer) => bytes = newer,
+                Err(async_channel::TryRecvError::Empty) => {}
+                Err(async_channel::TryRecvError::Closed) => return,
+            }
         }
     }
 }
--- a/crates/accord/src/disk.rs
+++ b/crates/accord/src/disk.rs
@@ -1,8 +1,9 @@
 //! What must outlast the process, in one `redb` file: the life of the store, the log's hard state, its entries and its
 //! snapshot, each change in one transaction that is on disk before its promise is given.
-use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition};
+use redb::{Database, ReadTransaction, ReadableDatabase, ReadableTable, TableDefinition, WriteTransaction};
+use std::cell::RefCell;
 use std::fmt;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 const META: TableDefinition<'_, &str, &[u8]> = TableDefinition::new("meta");
@@ -58,23 +59,47 @@
 
 /// An open store.
 pub struct Disk {
-    base: Database,
+    file: PathBuf,
+    /// None where it could not be opened again.
+    base: RefCell<Option<Database>>,
 }
 
 impl Disk {
     /// Opens the store of a front in that folder, which is made where it is missing; a new store gets that life.
     pub fn open(folder: &Path, life: u64) -> Result<Disk, Fault> {
         std::fs::create_dir_all(folder).map_err(words("the folder can't be made"))?;
-        let base =
-            Database::create(folder.join("accord.redb")).map_err(words("the store can't be opened"))?;
-        let disk = Disk { base };
+        let file = folder.join("accord.redb");
+        let base = Database::create(&file).map_err(words("the store can't be opened"))?;
+        let disk = Disk { file, base: RefCell::new(Some(base)) };
         disk.found(life)?;
         Ok(disk)
     }
 
+    /// Opens the store again. After an error of the file system the database takes nothing more until then; what it holds is
+    /// what was on disk, with the change that failed or without it.
+    pub fn open_again(&self) -> Result<(), Fault> {
+        // The old one holds a lock on the file.
+        drop(self.base.take());
+        let base = Database::create(&self.file).map_err(words("the store can't be opened"))?;
+        self.base.replace(Some(base));
+        Ok(())
+    }
+
+    fn begin_write(&self) -> Result<WriteTransaction, Fault> {
+        let base = self.base.borrow();
+        let base = base.as_ref().ok_or(Fault("the store is not open".into()))?;
+        base.begin_write().map_err(words("the store can't be written"))
+    }
+
+    fn begin_read(&self) -> Result<ReadTransaction, Fault> {
+        let base = self.base.borrow();
+        let base = base.as_ref().ok_or(Fault("the store is not open".into()))?;
+        base.begin_read().map_err(words("the store can't be read"))
+    }
+
     /// Makes the tables of a new store, or checks the form of an old one.
     fn found(&self, life: u64) -> Result<(), Fault> {
-        let write = self.base.begin_write().map_err(words("the store can't be written"))?;
+        let write = self.begin_write()?;
         {
             let mut meta = write.open_table(META).map_err(words("the store's meta data"))?;
             write.open_table(LOG).map_err(words("the store's log"))?;
@@ -99,7 +124,7 @@
 
     /// A number for this start of the process, above those of all earlier ones.
     pub fn start(&self, unix: Duration) -> Result<u64, Fault> {
-        let write = self.base.begin_write().map_err(words("the store can't be written"))?;
+        let write = self.begin_write()?;
         let start = {
             let mut meta = write.open_table(META).map_err(words("the store's meta data"))?;
             let start = envelope::life(unix, number(&meta, "start")?.unwrap_or(0));
@@ -112,7 +137,7 @@
 
     /// Reads everything, as at the start.
     pub fn read(&self) -> Result<Content, Fault> {
-        let read = self.base.begin_read().map_err(words("the store can't be read"))?;
+        let read = self.begin_read()?;
         let meta = read.open_table(META).map_err(words("the store's meta data"))?;
         let log = read.open_table(LOG).map_err(words("the store's log"))?;
         let bytes = |key: &str| -> Result<Option<Vec<u8>>, Fault> {
@@ -135,7 +160,7 @@
 
     /// Carries out a change; once this returns it is on disk.
     pub fn write(&self, change: &Change) -> Result<(), Fault> {
-        let write = self.base.begin_write().map_err(words("the store can't be written"))?;
+        let write = self.begin_write()?;
         {
             let mut meta = write.open_table(META).map_err(words("the store's meta data"))?;
             let mut log = write.open_table(LOG).map_err(words("the store's log"))?;
@@ -199,7 +224,7 @@
     fn a_store_of_another_form_is_refused() {
         let folder = tempfile::tempdir().unwrap();
         let disk = Disk::open(folder.path(), 7).unwrap();
-        let write = disk.base.begin_write().unwrap();
+        let write = disk.begin_write().unwrap();
         write.open_table(META).unwrap().insert("form", 2_u64.to_be_bytes().as_slice()).unwrap();
         write.commit().unwrap();
         drop(disk);
--- a/crates/accord/src/store.rs
+++ b/crates/accord/src/store.rs
@@ -69,37 +69,77 @@
 
 /// Writes until the other end has gone.
 pub fn run(disk: &Disk, from: &Receiver<Write>, told: &dyn Fn(Wrote), log: fn(&str)) {
-    let mut failed = false;
+    let mut writer = Writer { disk, told, log, failed: false, waits: None };
     loop {
-        let next = match failed {
+        let next = match writer.failed {
             false => from.recv().map_err(|_| RecvTimeoutError::Disconnected),
             true => from.recv_timeout(AGAIN),
         };
         match next {
-            Ok(Write::Batch(batch)) if failed => told(Wrote::Failed(batch.id)),
-            Ok(Write::Kept(..)) if failed => {}
-            Ok(Write::Batch(batch)) => match change(&batch).and_then(|c| disk.write(&c)) {
-                Ok(()) => told(Wrote::Batch(batch.id)),
-                Err(e) => {
-                    log(&format!("accord disk error={e}"));
-                    failed = true;
-                    told(Wrote::Failed(batch.id));
-                }
-            },
-            Ok(Write::Kept(serial, bytes)) => {
-                match disk.write(&Change { kept: Some(bytes), ..Change::default() }) {
-                    Ok(()) => told(Wrote::Kept(serial)),
-                    Err(e) => log(&format!("accord disk error={e}")),
-                }
+            Ok(Write::Batch(batch)) => writer.batch(&batch),
+            Ok(Write::Kept(serial, bytes)) => writer.keep(serial, bytes),
+            Err(RecvTimeoutError::Timeout) => writer.recover(),
+            Err(RecvTimeoutError::Disconnected) => return,
+        }
+    }
+}
+
+/// Writes, and remembers what the disk did not take.
+struct Writer<'a> {
+    disk: &'a Disk,
+    told: &'a dyn Fn(Wrote),
+    log: fn(&str),
+    /// Whether the disk has failed and is not well again.
+    failed: bool,
+    /// What is to be kept and is not on disk yet; a later one takes its place.
+    waits: Option<(u64, Vec<u8>)>,
+}
+
+impl Writer<'_> {
+    /// A batch that fails is the log's to write again.
+    fn batch(&mut self, batch: &Batch) {
+        if self.failed {
+            return (self.told)(Wrote::Failed(batch.id));
+        }
+        match change(batch).and_then(|change| self.disk.write(&change)) {
+            Ok(()) => (self.told)(Wrote::Batch(batch.id)),
+            Err(fault) => {
+                self.fails(&fault);
+                (self.told)(Wrote::Failed(batch.id));
             }
-            Err(RecvTimeoutError::Timeout) => {
-                if disk.write(&Change::default()).is_ok() {
-                    log("accord disk well again");
-                    failed = false;
-                    told(Wrote::Recovered);
-                }
+        }
+    }
+
+    fn keep(&mut self, serial: u64, bytes: Vec<u8>) {
+        self.waits = Some((serial, bytes));
+        if !self.failed {
+            self.keep_what_waits();
+        }
+    }
+
+    fn keep_what_waits(&mut self) {
+        let Some((serial, bytes)) = self.waits.take() else { return };
+        match self.disk.write(&Change { kept: Some(bytes.clone()), ..Change::default() }) {
+            Ok(()) => (self.told)(Wrote::Kept(serial)),
+            Err(fault) => {
+                self.fails(&fault);
+                self.waits = Some((serial, bytes));
             }
-            Err(RecvTimeoutError::Disconnected) => return,
+        }
+    }
+
+    fn fails(&mut self, fault: &Fault) {
+        (self.log)(&format!("accord disk error={fault}"));
+        self.failed = true;
+    }
+
+    fn recover(&mut self) {
+        let well = self.disk.open_again().and_then(|()| self.disk.write(&Change::default()));
+        if well.is_ok() {
+            (self.log)("accord disk well again");
+            self.failed = false;
+            (self.told)(Wrote::Recovered);
+            self.keep_what_waits();
         }
     }
 }
