--- a/crates/rig/src/engine.rs
+++ b/crates/rig/src/engine.rs
@@ -56,7 +56,8 @@
     /// Waits until that time is reached.
     pub async fn reach(&self, at: Duration) {
         while self.now() < at {
-            Timer::at(self.instant(at).max(Instant::now() + Duration::from_micros(100))).await;
+            // Where the thread is behind, the clock goes on once it is seen at work.
+            Timer::at(self.instant(at).max(Instant::now() + SAMPLE)).await;
         }
     }
 
