--- a/crates/lichenrudder/tests/persisted.rs
+++ b/crates/lichenrudder/tests/persisted.rs
@@ -76,3 +76,41 @@
     let program = start(&ip, folder.path(), &faults, "write=ENOSPC/1");
     assert!(!reaches(&program, &server), "killed right after the yes");
 }
+
+/// A process that follows another can't make its lock's file at its start. Both know of each other once the folder is well,
+/// and the older one leaves as soon as it is told to.
+#[test]
+fn a_process_whose_folder_takes_no_file_at_its_start_takes_over_all_the_same() {
+    let (ip, faults, folder) = (address(), Faults::build().unwrap(), tempfile::tempdir().unwrap());
+    let _server = Server::start(&ip, Duration::ZERO);
+    let all = config(&ip);
+    let alone = &all[all.find("[agent]").unwrap()..all.find("[known]").unwrap()];
+    let text = all.replace(alone, "").replace("speaks = \"iscsi\"", "");
+    let start = |port: &str| {
+        spawn_as(&text.replace(":6382", port), &ip, |command| {
+            faults.fail(command, "openat=ENOSPC/1");
+            faults.only_under(command, folder.path());
+            command.env("TMPDIR", folder.path());
+        })
+    };
+    let mut old = start(":6382");
+    drop(old.connect(6379));
+    faults.occur(true).unwrap();
+    let new = start(":6383");
+    let end = Instant::now() + Duration::from_secs(8);
+    while call(&ip, 6383, "GET /v1/readyz") != 200 {
+        assert!(Instant::now() < end, "the new process is not ready");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    faults.occur(false).unwrap();
+    std::thread::sleep(Duration::from_millis(300));
+    let term = Instant::now();
+    old.signal("TERM");
+    assert_eq!(old.exit(), 0);
+    assert!(term.elapsed() < Duration::from_secs(2), "it has not seen the new one: {:?}", term.elapsed());
+    let mut client = new.connect(6379);
+    client.write_all(&ask(1, 1200)).unwrap();
+    let mut answer = [0; 5];
+    client.read_exact(&mut answer).unwrap();
+    assert_eq!(&answer, b"$16\r\n");
+}
