--- a/review/common.rs
+++ b/review/common.rs
@@ -261,9 +261,13 @@
 
 /// A call over HTTP/1.1; the status and the body.
 pub fn http(at: SocketAddr, method: &str, target: &str) -> Option<(u16, String)> {
+    http_with(at, method, target, "")
+}
+
+pub fn http_with(at: SocketAddr, method: &str, target: &str, body: &str) -> Option<(u16, String)> {
     let mut stream = TcpStream::connect_timeout(&at, Duration::from_secs(1)).ok()?;
     stream.set_read_timeout(Some(Duration::from_secs(3))).ok()?;
-    write!(stream, "{method} {target} HTTP/1.1\r\nHost: front\r\nContent-Length: 0\r\nConnection: close\r\n\r\n").ok()?;
+    write!(stream, "{method} {target} HTTP/1.1\r\nHost: front\r\nContent-Length: {}\r\nConnection: close\r\n\r\n{body}", body.len()).ok()?;
     let mut text = String::new();
     stream.read_to_string(&mut text).ok()?;
     let status = text.split(' ').nth(1)?.parse().ok()?;
@@ -400,3 +404,78 @@
         writer.write_all(&answer).ok()?;
     }
 }
+
+/// How long discovery takes to answer a call.
+const DISCOVERY_TAKES: Duration = Duration::from_millis(100);
+
+/// Discovery: `GET /api/targets` and its watch, as PROTOCOL describes them.
+#[derive(Clone)]
+pub struct Discovery {
+    pub at: SocketAddr,
+    /// The generation of each change, with the changed entry by its id; the last of an id is in force.
+    changes: Arc<Mutex<Vec<(String, String)>>>,
+}
+
+impl Discovery {
+    /// With these entries, each with its id.
+    pub fn start(entries: Vec<(String, String)>) -> Discovery {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let at = listener.local_addr().unwrap();
+        PORTS.lock().unwrap().insert(at.port());
+        let discovery = Discovery { at, changes: Arc::new(Mutex::new(entries)) };
+        let served = discovery.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let served = served.clone();
+                std::thread::spawn(move || served.serve(stream));
+            }
+        });
+        discovery
+    }
+
+    /// Changes an entry.
+    pub fn change(&self, id: &str, entry: &str) {
+        say(format!("discovery: now lists {entry}"));
+        self.changes.lock().unwrap().push((id.into(), entry.into()));
+    }
+
+    fn list(&self) -> (usize, String) {
+        let changes = self.changes.lock().unwrap();
+        let mut entries = std::collections::BTreeMap::new();
+        changes.iter().for_each(|(id, entry)| drop(entries.insert(id, entry)));
+        let entries: Vec<&str> = entries.values().map(|entry| entry.as_str()).collect();
+        let text = format!("{{\"generation\":{},\"reset\":true,\"instances\":[{}]}}\n", changes.len(), entries.join(","));
+        (changes.len(), text)
+    }
+
+    fn serve(&self, stream: TcpStream) -> Option<()> {
+        let mut writer = stream.try_clone().ok()?;
+        let mut reader = BufReader::new(stream);
+        let head = line(&mut reader)?;
+        while !line(&mut reader)?.is_empty() {}
+        std::thread::sleep(DISCOVERY_TAKES);
+        let (mut sent, list) = self.list();
+        if !head.contains("watch=1") {
+            return write!(writer, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len()).ok();
+        }
+        say(format!("discovery: {head}"));
+        write!(writer, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").ok()?;
+        let mut next = Some(list);
+        let mut silent_since = Instant::now();
+        loop {
+            if let Some(text) = next.take() {
+                write!(writer, "{:x}\r\n{text}\r\n", text.len()).ok()?;
+                silent_since = Instant::now();
+            }
+            std::thread::sleep(Duration::from_millis(20));
+            let changes = self.changes.lock().unwrap();
+            if changes.len() > sent {
+                let entries: Vec<&str> = changes[sent..].iter().map(|(_, entry)| entry.as_str()).collect();
+                sent = changes.len();
+                next = Some(format!("{{\"generation\":{sent},\"reset\":false,\"instances\":[{}]}}\n", entries.join(",")));
+            } else if silent_since.elapsed() >= Duration::from_secs(2) {
+                next = Some("\n".into());
+            }
+        }
+    }
+}
