Tests that make system calls fail build and pass on arm64 too

Cause: crates/test-cluster/faults/faults.c took a trapped call's number and arguments from x86-64's registers and repeated a call with that machine's instruction.

Change: what depends on the machine (number and arguments of the trapped call, its result, its repetition with the marker in the sixth argument) stands in one block for x86-64 and one for arm64; the rest calls its four functions. On any other machine an #error ends the build. No test, no bound of time and no code of the programs is changed.

--- a/crates/test-cluster/faults/faults.c
+++ b/crates/test-cluster/faults/faults.c
@@ -1,5 +1,5 @@
 /* Makes system calls of the process that preloads it fail with errors that Linux documents for them. Built by
-   `test_cluster::syscall_faults`; x86-64 Linux only.
+   `test_cluster::syscall_faults`; Linux on x86-64 or arm64 only.
 
    FAULT_CALLS  "recvfrom=EINTR/7 epoll_ctl=ENOMEM/9": every 7th recvfrom fails with EINTR, and so on
    FAULT_WHILE  calls fail only while this file exists; always if it is unset
@@ -28,8 +28,59 @@
 #include <unistd.h>
 
 #define PASS_MARKER 0x0fa17ab1L
+#define ARGUMENTS 5
 #define MAX_FAULTS 8
 
+/* All that depends on the machine: the number and the arguments of a trapped call, its result, and its repetition with the
+   marker in the sixth argument. */
+#if defined __x86_64__ && defined __LP64__
+
+static long trapped_call(const ucontext_t *context) { return context->uc_mcontext.gregs[REG_RAX]; }
+
+static void trapped_arguments(const ucontext_t *context, long *a) {
+  const greg_t *r = context->uc_mcontext.gregs;
+  a[0] = r[REG_RDI], a[1] = r[REG_RSI], a[2] = r[REG_RDX], a[3] = r[REG_R10], a[4] = r[REG_R8];
+}
+
+static void set_result(ucontext_t *context, long result) { context->uc_mcontext.gregs[REG_RAX] = result; }
+
+static long repeat_call(long call, const long *a) {
+  long result;
+  register long r10 __asm__("r10") = a[3];
+  register long r8 __asm__("r8") = a[4];
+  register long r9 __asm__("r9") = PASS_MARKER;
+  __asm__ volatile("syscall" : "=a"(result)
+                   : "a"(call), "D"(a[0]), "S"(a[1]), "d"(a[2]), "r"(r10), "r"(r8), "r"(r9)
+                   : "rcx", "r11", "memory");
+  return result;
+}
+
+#elif defined __aarch64__ && defined __LP64__ && defined __AARCH64EL__
+
+static long trapped_call(const ucontext_t *context) { return context->uc_mcontext.regs[8]; }
+
+static void trapped_arguments(const ucontext_t *context, long *a) {
+  for (int i = 0; i < ARGUMENTS; i++) a[i] = context->uc_mcontext.regs[i];
+}
+
+static void set_result(ucontext_t *context, long result) { context->uc_mcontext.regs[0] = result; }
+
+static long repeat_call(long call, const long *a) {
+  register long x8 __asm__("x8") = call;
+  register long x0 __asm__("x0") = a[0];
+  register long x1 __asm__("x1") = a[1];
+  register long x2 __asm__("x2") = a[2];
+  register long x3 __asm__("x3") = a[3];
+  register long x4 __asm__("x4") = a[4];
+  register long x5 __asm__("x5") = PASS_MARKER;
+  __asm__ volatile("svc #0" : "+r"(x0) : "r"(x8), "r"(x1), "r"(x2), "r"(x3), "r"(x4), "r"(x5) : "memory");
+  return x0;
+}
+
+#else
+#error "faults.c knows how to fail and repeat system calls on x86-64 and arm64 Linux only"
+#endif
+
 struct fault {
   long call;
   long error;
@@ -57,17 +108,6 @@
 static int fault_count;
 static const char *enable_file, *path_filter;
 
-static long repeat_call(long call, const long *a) {
-  long result;
-  register long r10 __asm__("r10") = a[3];
-  register long r8 __asm__("r8") = a[4];
-  register long r9 __asm__("r9") = PASS_MARKER;
-  __asm__ volatile("syscall" : "=a"(result)
-                   : "a"(call), "D"(a[0]), "S"(a[1]), "d"(a[2]), "r"(r10), "r"(r8), "r"(r9)
-                   : "rcx", "r11", "memory");
-  return result;
-}
-
 static int is_on_matching_file(const struct fault *fault, const long *a) {
   if (!path_filter) return 1;
   if (fault->call == SYS_openat) return (a[2] & (O_WRONLY | O_RDWR | O_CREAT)) && strstr((const char *)a[1], path_filter);
@@ -81,9 +121,9 @@
 static void handle_sigsys(int signal, siginfo_t *info, void *context) {
   (void)signal;
   (void)info;
-  greg_t *r = ((ucontext_t *)context)->uc_mcontext.gregs;
-  const long a[] = {r[REG_RDI], r[REG_RSI], r[REG_RDX], r[REG_R10], r[REG_R8]};
-  const long call = r[REG_RAX];
+  long a[ARGUMENTS];
+  trapped_arguments(context, a);
+  const long call = trapped_call(context);
   int saved = errno;
   for (int i = 0; i < fault_count; i++) {
     struct fault *fault = &faults[i];
@@ -91,12 +131,12 @@
     if (fault->call != call || (fault->takes_file && !is_on_matching_file(fault, a))) continue;
     if (enable_file && access(enable_file, F_OK) != 0) continue;
     if (__atomic_add_fetch(&fault->call_count, 1, __ATOMIC_RELAXED) % fault->every == 0) {
-      r[REG_RAX] = -fault->error;
+      set_result(context, -fault->error);
       errno = saved;
       return;
     }
   }
-  r[REG_RAX] = repeat_call(call, a);
+  set_result(context, repeat_call(call, a));
   errno = saved;
 }
 
--- a/crates/test-cluster/src/syscall_faults.rs
+++ b/crates/test-cluster/src/syscall_faults.rs
@@ -1,5 +1,6 @@
 //! Injects failing system calls and steps of the wall clock into a gateway process, by a small library that
-//! the process preloads (`faults/faults.c`, built with the C compiler that links the program).
+//! the process preloads (`faults/faults.c`, built with the C compiler that links the program; Linux on x86-64
+//! or arm64).
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
 use std::process::Command;
